--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Commands for people who work on pollenroad. Everything runs from .venv.
+PYTHON ?= python3.11
+MINUTES ?= 1
+
+.PHONY: setup test lint format demo fuzz
+
+setup: .venv/.installed
+
+.venv/.installed: requirements.lock pyproject.toml
+	test -x .venv/bin/python || $(PYTHON) -m venv .venv || python3 -m venv .venv
+	.venv/bin/pip install --quiet --disable-pip-version-check -r requirements.lock
+	.venv/bin/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch .venv/.installed
+
+test: setup
+	.venv/bin/nose2 -s tests -t .
+
+lint: setup
+	.venv/bin/black --check --quiet src tests
+	.venv/bin/ruff check src tests
+
+format: setup
+	.venv/bin/black --quiet src tests
+	.venv/bin/ruff check --fix src tests
+
+demo: setup
+	.venv/bin/pollenroad demo
+
+fuzz: setup
+	.venv/bin/python -m tests.fuzz --minutes $(MINUTES)
--- /dev/null
+++ b/src/pollenroad/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for servers whose load shifts in milliseconds."""
--- /dev/null
+++ b/src/pollenroad/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on real processes, one module each, over one shared runner."""
--- /dev/null
+++ b/src/pollenroad/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, one module each with a `run` function."""
--- /dev/null
+++ b/src/pollenroad/messages.py
@@ -0,0 +1,114 @@
+"""Messages between daemons, as they go over the peer link.
+
+Each is a frozen msgspec Struct with a tag; `PeerMessage` is the union that a link decodes. A field
+added later needs a default, so that daemons of neighbouring versions understand each other.
+"""
+
+import msgspec
+
+PROTOCOL_VERSION = 1
+
+
+class Message(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Base of every message on the peer link."""
+
+
+class Request(Message):
+    """A caller's request, without hop-by-hop headers."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class Response(Message):
+    """A server's whole answer, without hop-by-hop headers."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class LoadReport(Message, tag="load"):
+    """What a guard knows of its endpoint; rides on every answer and is sent alone when idle."""
+
+    service: str
+    """Key of the service, `WORKSPACE/SERVICE`."""
+    endpoint: str
+    in_flight: int
+    queued: int
+    bound: int
+    """Requests in flight that the guard admits now."""
+    state: str = "serving"
+    """`serving`, `cold`, `draining` or `out`."""
+    service_ms: float = 0.0
+    """Recent median time of a request at the server, in milliseconds."""
+    sequence: int = 0
+    """Grows with each report of this guard, so that an older one is recognised."""
+
+
+class Attempt(Message, tag="attempt"):
+    """One try of a call at one endpoint."""
+
+    attempt_id: str
+    """Unique over all daemons and restarts."""
+    request_id: str
+    """Shared by all attempts of one call, and by the calls that it causes."""
+    service: str
+    customer: str
+    request_class: str
+    idempotent: bool
+    remaining_ms: float
+    """Time left until the deadline at the moment of sending, in milliseconds."""
+    request: Request
+    number: int = 1
+    """1 for the first attempt of a call."""
+    retry_budget: float = 1.0
+    """Retries that the calls below this one may still spend."""
+    depth: int = 0
+    """Calls above this one."""
+    config_version: int = 0
+
+
+class AttemptAnswer(Message, tag="answer"):
+    """How an attempt ended."""
+
+    attempt_id: str
+    verdict: str
+    """Value of a `Verdict`."""
+    reason: str = ""
+    """Reason code where the verdict is not `ran`."""
+    response: Response | None = None
+    load: LoadReport | None = None
+    retry_after_ms: float = 0.0
+
+
+class CancelAttempt(Message, tag="cancel"):
+    """The entry no longer wants the answer of an attempt."""
+
+    attempt_id: str
+
+
+class Hello(Message, tag="hello"):
+    """First message on a link, in both directions."""
+
+    protocol: int
+    vm: str
+    address: str
+    """Peer address of the sender."""
+    incarnation: str
+    """Differs after each restart of the sender."""
+    failure_domain: str = ""
+    proof: str = ""
+    """Authentication of the sender, empty where daemons share no key."""
+
+
+class Leaving(Message, tag="leaving"):
+    """The sender takes no new work from now on."""
+
+    vm: str
+
+
+PeerMessage = Attempt | AttemptAnswer | CancelAttempt | LoadReport | Hello | Leaving
+"""Every message that a link accepts; later modules extend this union here."""
