Choose endpoints by expected time; retries and hedges under budgets

Cause: the first router compared only this entry's open attempts, so that a straggler, a fast failer and a paused server all looked idle, and nothing bounded retries. Ruled out: counting failures as latencies (a fast failure would lower the average); clearing the suspicion of an endpoint when its late attempt is cancelled (a hedge would hide the pause). Change: loads (estimates that fade with age), latencies (quantiles by class), retries (budgets and the allowance that travels), subsets, services, calls; the entry hedges late idempotent attempts, cancels the loser, and records each attempt with the reason for its endpoint. An UNKNOWN end is never followed by a claim of NOT_RUN.

--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -1,10 +1,10 @@
-"""The entry core: takes a call, chooses an endpoint, retries, and answers with a verdict.
+"""The entry core: takes a call, chooses an endpoint, retries, hedges, and answers with a verdict.
 
 No I/O: see `pollenroad.boundary`.
 """
 
 import random
-from dataclasses import dataclass, field
+from collections.abc import Iterator
 
 from pollenroad.boundary import (
     Action,
@@ -19,71 +19,69 @@
     SendPeer,
     Tick,
 )
+from pollenroad.calls import OpenAttempt, OpenCall, answered_record, ended_record, sent_record
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport
-from pollenroad.models import Endpoint, RequestClass, ServiceDocument, WorkspaceDocument
-from pollenroad.routing import Router, make_router
+from pollenroad.models import ServiceDocument, WorkspaceDocument
+from pollenroad.retries import TEACHING_REASONS, allowance_below
+from pollenroad.routing import LeastTime, Policy, RouterPlace, make_router
+from pollenroad.services import Service
+from pollenroad.subsets import place_of
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict, may_retry
 
+MIN_SPARE_SHARE = 0.1
+"""Share of the known capacity that must be free for a hedge."""
 
-@dataclass(slots=True)
-class _OpenCall:
-    call: CallArrived
-    request_class: RequestClass
-    deadline: float
-    attempts: int = 0
-    maybe_ran: bool = False
-    tried: set = field(default_factory=set)
-    open_attempts: set = field(default_factory=set)
-
-
-@dataclass(slots=True)
-class _OpenAttempt:
-    attempt_id: str
-    call_id: str
-    endpoint: Endpoint
-    sent_at: float
+SERVER_ERROR = 500
+"""Lowest HTTP status that counts as a failure of the server."""
 
 
 class Entry:
     """State of one entry: open calls, and a router for each service in use."""
 
-    def __init__(self, incarnation: str, failure_domain: str, rng: random.Random):
+    def __init__(self, incarnation: str, place: RouterPlace, rng: random.Random):
         self._incarnation = incarnation
-        self._failure_domain = failure_domain
+        self._place = place
         self._rng = rng
         self._document_by_key: dict[str, ServiceDocument] = {}
         self._workspace_by_name: dict[str, WorkspaceDocument] = {}
-        self._router_by_service: dict[str, Router] = {}
-        self._call_by_id: dict[str, _OpenCall] = {}
-        self._attempt_by_id: dict[str, _OpenAttempt] = {}
+        self._service_by_key: dict[str, Service] = {}
+        self._call_by_id: dict[str, OpenCall] = {}
+        self._attempt_by_id: dict[str, OpenAttempt] = {}
         self._timers = Timers()
         self._attempt_count = 0
 
+    @property
+    def open_calls(self) -> int:
+        """Calls without an answer yet."""
+        return len(self._call_by_id)
+
     def next_due(self) -> float | None:
         """Return when `Tick` is next needed, in monotonic seconds."""
         return self._timers.next_due()
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event and return what is to be done."""
+        return list(self._actions(event, now))
+
+    def _actions(self, event: Event, now: float) -> Iterator[Action]:
         match event:
             case CallArrived():
-                return self._on_call(event, now)
+                yield from self._on_call(event, now)
             case CallAbandoned(call_id):
-                return self._abandon(call_id)
+                yield from self._abandon(call_id, now)
             case PeerReceived(_, AttemptAnswer() as answer):
-                return self._on_answer(answer, now)
+                yield from self._on_answer(answer, now)
             case PeerReceived(_, LoadReport() as report):
                 self._learn(report, now)
             case AttemptUnsent(attempt_id):
-                return self._end_attempt(attempt_id, Verdict.NOT_RUN, "unreachable", now)
+                yield from self._on_unsent(attempt_id, now)
             case PeerLost(peer):
-                return self._on_peer_lost(peer, now)
+                yield from self._on_peer_lost(peer, now)
             case DocumentInForce(document):
                 self._on_document(document, now)
             case Tick():
-                return self._on_tick(now)
-        return []
+                yield from self._on_tick(now)
 
     # --- Configuration and load ---
 
@@ -91,57 +89,74 @@
         match document:
             case ServiceDocument():
                 self._document_by_key[document.key] = document
-                router = self._router_by_service.get(document.key)
-                if router is not None:
-                    router.configure(document, now)
+                service = self._service_by_key.get(document.key)
+                if service is not None:
+                    service.configure(document, now)
             case WorkspaceDocument():
                 self._workspace_by_name[document.key] = document
 
-    def _router(self, service: str, now: float) -> Router:
-        router = self._router_by_service.get(service)
-        if router is None:
-            document = self._document_by_key[service]
-            router = make_router(document, self._failure_domain, self._rng, now)
-            self._router_by_service[service] = router
-        return router
+    def _service(self, key: str, now: float) -> Service | None:
+        service = self._service_by_key.get(key)
+        if service is not None:
+            return service
+        document = self._document_by_key.get(key)
+        if document is None:
+            return None
+        router = make_router(document, self._place, self._rng)
+        self._service_by_key[key] = Service(document, router, now)
+        return self._service_by_key[key]
 
     def _learn(self, report: LoadReport, now: float) -> None:
-        router = self._router_by_service.get(report.service)
-        if router is not None:
-            router.learn(report, now)
+        service = self._service_by_key.get(report.service)
+        if service is not None:
+            service.router.learn(report, now)
 
     # --- Calls ---
 
-    def _on_call(self, call: CallArrived, now: float) -> list[Action]:
-        document = self._document_by_key.get(call.service)
-        if document is None:
-            return [AnswerCall(call.call_id, Verdict.NOT_RUN, "unknown-service")]
-        name = call.request_class or document.default_class
-        request_class = next((c for c in document.classes if c.name == name), None)
+    def _on_call(self, call: CallArrived, now: float) -> Iterator[Action]:
+        service = self._service(call.service, now)
+        if service is None:
+            yield AnswerCall(call.call_id, Verdict.NOT_RUN, "unknown-service")
+            return
+        name = call.request_class or service.document.default_class
+        request_class = service.class_by_name.get(name)
         if request_class is None:
-            return [AnswerCall(call.call_id, Verdict.NOT_RUN, "unknown-class")]
+            yield AnswerCall(call.call_id, Verdict.NOT_RUN, "unknown-class")
+            return
         limit_ms = min(call.deadline_ms or request_class.deadline_ms, request_class.deadline_ms)
-        deadline = now + limit_ms / 1000
-        self._call_by_id[call.call_id] = _OpenCall(call, request_class, deadline)
-        self._timers.set(("deadline", call.call_id), deadline)
-        return self._send_attempt(call.call_id, now)
-
-    def _send_attempt(self, call_id: str, now: float) -> list[Action]:
-        open_call = self._call_by_id[call_id]
-        router = self._router(open_call.call.service, now)
-        endpoint = router.choose(frozenset(open_call.tried), now)
-        if endpoint is None:
-            return self._finish(call_id, Verdict.NOT_RUN, "no-endpoint")
+        open_call = OpenCall(call, request_class, now, now + limit_ms / 1000)
+        self._call_by_id[call.call_id] = open_call
+        self._timers.set(("deadline", call.call_id), open_call.deadline)
+        service.retry_budget.first_attempt()
+        service.hedge_budget.first_attempt()
+        yield from self._send_attempt(open_call, "first", now)
+
+    def _send_attempt(self, open_call: OpenCall, role: str, now: float) -> Iterator[Action]:
+        call = open_call.call
+        service = self._service_by_key[call.service]
+        choice = service.router.choose(open_call.tried_names, open_call.request_class.name, now)
+        if choice is None:
+            if not open_call.open_attempt_ids:
+                yield from self._finish(open_call, Verdict.NOT_RUN, "no-endpoint", now)
+            return
+        attempt = self._make_attempt(open_call, service, now)
+        name = choice.endpoint.name
+        open_call.tried_names.add(name)
+        open_call.open_attempt_ids.add(attempt.attempt_id)
+        self._attempt_by_id[attempt.attempt_id] = OpenAttempt(
+            attempt.attempt_id, call.call_id, choice.endpoint, now
+        )
+        service.router.sent(name, attempt.attempt_id, open_call.request_class.name, now)
+        self._set_hedge_timer(open_call, service, now)
+        yield sent_record(attempt, choice.endpoint, f"{role}:{choice.why}")
+        yield SendPeer(choice.endpoint.address, attempt)
+
+    def _make_attempt(self, open_call: OpenCall, service: Service, now: float) -> Attempt:
+        call = open_call.call
         self._attempt_count += 1
-        attempt_id = f"{self._incarnation}-{self._attempt_count}"
         open_call.attempts += 1
-        open_call.tried.add(endpoint.name)
-        open_call.open_attempts.add(attempt_id)
-        self._attempt_by_id[attempt_id] = _OpenAttempt(attempt_id, call_id, endpoint, now)
-        router.sent(endpoint.name, now)
-        call = open_call.call
-        attempt = Attempt(
-            attempt_id=attempt_id,
+        return Attempt(
+            attempt_id=f"{self._incarnation}-{self._attempt_count}",
             request_id=call.request_id,
             service=call.service,
             customer=call.customer,
@@ -150,108 +165,184 @@
             remaining_ms=(open_call.deadline - now) * 1000,
             request=call.request,
             number=open_call.attempts,
-            retry_budget=call.retry_budget,
+            retry_budget=allowance_below(call.retry_budget, open_call.attempts),
             depth=call.depth,
-            config_version=self._document_by_key[call.service].version,
+            config_version=service.document.version,
         )
-        return [SendPeer(endpoint.address, attempt)]
 
-    def _on_answer(self, answer: AttemptAnswer, now: float) -> list[Action]:
+    # --- Answers ---
+
+    def _on_answer(self, answer: AttemptAnswer, now: float) -> Iterator[Action]:
+        attempt = self._attempt_by_id.pop(answer.attempt_id, None)
+        if attempt is None:
+            if answer.load is not None:
+                self._learn(answer.load, now)
+            return
+        open_call = self._call_by_id[attempt.call_id]
+        open_call.open_attempt_ids.discard(attempt.attempt_id)
+        verdict = Verdict(answer.verdict)
+        router = self._service_by_key[open_call.call.service].router
+        name = attempt.endpoint.name
+        if verdict is Verdict.RAN:
+            ok = answer.response is not None and answer.response.status < SERVER_ERROR
+            class_name = open_call.request_class.name
+            router.answered(name, attempt.attempt_id, class_name, now - attempt.sent_at, ok, now)
+        else:
+            router.ended(name, attempt.attempt_id, verdict, now)
         if answer.load is not None:
             self._learn(answer.load, now)
-        verdict = Verdict(answer.verdict)
-        return self._end_attempt(answer.attempt_id, verdict, answer.reason, now, answer)
+        yield ended_record(open_call, attempt, verdict, answer.reason, now)
+        if verdict is Verdict.RAN:
+            yield from self._finish(
+                open_call, verdict, "", now, answer.response, attempt.endpoint.name
+            )
+            return
+        yield from self._after_failure(
+            open_call, verdict, answer.reason, now, answer.retry_after_ms
+        )
+
+    def _end_without_answer(
+        self, attempt_id: str, verdict: Verdict, reason: str, now: float
+    ) -> Iterator[Action]:
+        attempt = self._attempt_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return
+        open_call = self._call_by_id[attempt.call_id]
+        open_call.open_attempt_ids.discard(attempt_id)
+        router = self._service_by_key[open_call.call.service].router
+        router.ended(attempt.endpoint.name, attempt_id, verdict, now)
+        router.unreachable(attempt.endpoint.address, now)
+        yield ended_record(open_call, attempt, verdict, reason, now)
+        yield from self._after_failure(open_call, verdict, reason, now)
 
-    def _end_attempt(
+    def _after_failure(
         self,
-        attempt_id: str,
+        open_call: OpenCall,
         verdict: Verdict,
         reason: str,
         now: float,
-        answer: AttemptAnswer | None = None,
-    ) -> list[Action]:
-        attempt = self._attempt_by_id.pop(attempt_id, None)
-        if attempt is None:
-            return []
-        open_call = self._call_by_id[attempt.call_id]
-        open_call.open_attempts.discard(attempt_id)
-        router = self._router(open_call.call.service, now)
-        router.ended(attempt.endpoint.name, verdict, now - attempt.sent_at, now)
-        if verdict is Verdict.RAN:
-            return self._finish(
-                attempt.call_id, verdict, "", answer.response, attempt.endpoint.name
-            )
+        retry_after_ms: float = 0.0,
+    ) -> Iterator[Action]:
         if verdict is Verdict.UNKNOWN:
             open_call.maybe_ran = True
-        if self._may_try_again(open_call, verdict, now):
-            return self._send_attempt(attempt.call_id, now)
-        retry_after_ms = answer.retry_after_ms if answer else 0.0
-        return self._finish(attempt.call_id, verdict, reason, retry_after_ms=retry_after_ms)
+        if open_call.open_attempt_ids:
+            return
+        if self._may_try_again(open_call, verdict, reason, now):
+            yield from self._send_attempt(open_call, "retry", now)
+            return
+        yield from self._finish(open_call, verdict, reason, now, retry_after_ms=retry_after_ms)
 
-    def _may_try_again(self, open_call: _OpenCall, verdict: Verdict, now: float) -> bool:
+    def _may_try_again(
+        self, open_call: OpenCall, verdict: Verdict, reason: str, now: float
+    ) -> bool:
+        idempotent = open_call.request_class.idempotent
         if open_call.attempts >= open_call.request_class.max_attempts:
             return False
         if now >= open_call.deadline:
             return False
-        return may_retry(verdict, open_call.request_class.idempotent)
+        if not may_retry(verdict, idempotent) or (open_call.maybe_ran and not idempotent):
+            return False
+        if reason in TEACHING_REASONS:
+            return True
+        if open_call.call.retry_budget < open_call.retries + 1:
+            return False
+        service = self._service_by_key[open_call.call.service]
+        if not service.retry_budget.spend(now):
+            return False
+        open_call.retries += 1
+        return True
 
     def _finish(
         self,
-        call_id: str,
+        open_call: OpenCall,
         verdict: Verdict,
         reason: str,
+        now: float,
         response=None,
         endpoint: str = "",
         retry_after_ms: float = 0.0,
-    ) -> list[Action]:
-        open_call = self._call_by_id.pop(call_id)
-        self._timers.cancel(("deadline", call_id))
+    ) -> Iterator[Action]:
+        call_id = open_call.call.call_id
         if verdict is Verdict.NOT_RUN and open_call.maybe_ran:
             verdict = Verdict.UNKNOWN
-        actions = self._cancel_attempts(open_call)
-        answer = AnswerCall(
+        yield from self._close(open_call, now)
+        yield answered_record(open_call, verdict, reason, endpoint, now)
+        yield AnswerCall(
             call_id, verdict, reason, response, open_call.attempts, endpoint, retry_after_ms
         )
-        return [*actions, answer]
 
-    def _cancel_attempts(self, open_call: _OpenCall) -> list[Action]:
-        actions = []
-        for attempt_id in sorted(open_call.open_attempts):
-            attempt = self._attempt_by_id.pop(attempt_id)
-            router = self._router_by_service[open_call.call.service]
-            router.forget(attempt.endpoint.name)
-            actions.append(SendPeer(attempt.endpoint.address, CancelAttempt(attempt_id)))
-        return actions
-
-    def _abandon(self, call_id: str) -> list[Action]:
-        open_call = self._call_by_id.pop(call_id, None)
-        if open_call is None:
-            return []
+    def _close(self, open_call: OpenCall, now: float) -> Iterator[Action]:
+        call_id = open_call.call.call_id
+        del self._call_by_id[call_id]
         self._timers.cancel(("deadline", call_id))
-        return self._cancel_attempts(open_call)
+        self._timers.cancel(("hedge", call_id))
+        router = self._service_by_key[open_call.call.service].router
+        for attempt_id in sorted(open_call.open_attempt_ids):
+            attempt = self._attempt_by_id.pop(attempt_id)
+            router.cancelled(attempt.endpoint.name, attempt_id, now)
+            yield SendPeer(attempt.endpoint.address, CancelAttempt(attempt_id))
+
+    def _abandon(self, call_id: str, now: float) -> Iterator[Action]:
+        open_call = self._call_by_id.get(call_id)
+        if open_call is not None:
+            yield from self._close(open_call, now)
 
-    def _on_peer_lost(self, peer: str, now: float) -> list[Action]:
+    # --- Links ---
+
+    def _on_unsent(self, attempt_id: str, now: float) -> Iterator[Action]:
+        yield from self._end_without_answer(attempt_id, Verdict.NOT_RUN, "unreachable", now)
+
+    def _on_peer_lost(self, peer: str, now: float) -> Iterator[Action]:
         lost = [a.attempt_id for a in self._attempt_by_id.values() if a.endpoint.address == peer]
-        actions = []
         for attempt_id in lost:
-            actions += self._end_attempt(attempt_id, Verdict.UNKNOWN, "peer-lost", now)
-        return actions
+            yield from self._end_without_answer(attempt_id, Verdict.UNKNOWN, "peer-lost", now)
+        for service in self._service_by_key.values():
+            service.router.unreachable(peer, now)
+
+    # --- Time ---
 
-    def _on_tick(self, now: float) -> list[Action]:
-        actions = []
-        for _, call_id in self._timers.pop_due(now):
+    def _set_hedge_timer(self, open_call: OpenCall, service: Service, now: float) -> None:
+        request_class = open_call.request_class
+        if not (request_class.hedge and request_class.idempotent):
+            return
+        due = now + service.router.late_after_s(request_class.name)
+        if due < open_call.deadline and open_call.attempts < request_class.max_attempts:
+            self._timers.set(("hedge", open_call.call.call_id), due)
+
+    def _on_tick(self, now: float) -> Iterator[Action]:
+        for kind, call_id in self._timers.pop_due(now):
             open_call = self._call_by_id[call_id]
-            verdict = Verdict.UNKNOWN if open_call.open_attempts else Verdict.NOT_RUN
-            actions += self._finish(call_id, verdict, "deadline")
-        return actions
+            if kind == "hedge":
+                yield from self._hedge(open_call, now)
+                continue
+            verdict = Verdict.UNKNOWN if open_call.open_attempt_ids else Verdict.NOT_RUN
+            yield from self._finish(open_call, verdict, "deadline", now)
+
+    def _hedge(self, open_call: OpenCall, now: float) -> Iterator[Action]:
+        service = self._service_by_key[open_call.call.service]
+        if len(open_call.open_attempt_ids) != 1:
+            return
+        if open_call.call.retry_budget < 1 or service.router.spare_share(now) < MIN_SPARE_SHARE:
+            return
+        if service.hedge_budget.spend(now):
+            yield from self._send_attempt(open_call, "hedge", now)
 
 
-def make_entry(incarnation: str, failure_domain: str, rng: random.Random) -> Entry:
+def make_entry(
+    incarnation: str,
+    failure_domain: str,
+    rng: random.Random,
+    vm: str = "",
+    policy: Policy | None = None,
+) -> Entry:
     """Make an entry.
 
     Args:
         incarnation: Prefix of attempt ids, unique over daemons and restarts.
         failure_domain: Failure domain of this daemon.
         rng: Source of randomness.
+        vm: Name of the VM, by which its subset of a large service is chosen.
+        policy: How endpoints are chosen; the default is the product's own.
     """
-    return Entry(incarnation, failure_domain, rng)
+    place = RouterPlace(failure_domain, place_of(vm or incarnation), policy or LeastTime())
+    return Entry(incarnation, place, rng)
--- /dev/null
+++ b/src/pollenroad/retries.py
@@ -0,0 +1,80 @@
+"""Budgets for attempts beyond the first, so that retries and hedges never amplify an outage.
+
+Three bounds hold together. Each service has a token bucket at every entry: first attempts pay in
+a share of a token, a retry takes a whole one. Each call has its class's `max_attempts`. And the
+allowance that travels with a call falls by one with each retry, so that a retry causes no further
+retries in the calls below it.
+"""
+
+from dataclasses import dataclass
+
+from pollenroad.models import RetryRules
+
+BURST_S = 5.0
+"""Seconds of `min_per_s` that an idle budget gathers."""
+
+MIN_BURST = 3.0
+"""Tokens that a full budget holds at the least."""
+
+RATIO_BURST = 100.0
+"""First attempts whose shares a full budget holds."""
+
+TEACHING_REASONS = frozenset({"leaving", "out-of-service", "not-here", "unreachable"})
+"""Refusals after which the entry shuns the endpoint: they are rare, and retried free of charge."""
+
+
+@dataclass(slots=True)
+class Budget:
+    """A token bucket that is filled by first attempts and, slowly, by time."""
+
+    ratio: float
+    """Tokens gained by each first attempt."""
+    per_s: float
+    """Tokens gained each second."""
+    tokens: float
+    updated_at: float
+
+    @property
+    def _capacity(self) -> float:
+        return max(MIN_BURST, self.per_s * BURST_S, self.ratio * RATIO_BURST)
+
+    def _refill(self, now: float) -> None:
+        elapsed_s = max(0.0, now - self.updated_at)
+        self.updated_at = now
+        self._gain(elapsed_s * self.per_s)
+
+    def _gain(self, tokens: float) -> None:
+        self.tokens = min(self._capacity, self.tokens + tokens)
+
+    def first_attempt(self) -> None:
+        """Pay in the share of one first attempt."""
+        self._gain(self.ratio)
+
+    def spend(self, now: float) -> bool:
+        """Take one token; tell whether there was one."""
+        self._refill(now)
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+def make_retry_budget(rules: RetryRules, now: float) -> Budget:
+    """Make the retry budget of one service at one entry."""
+    return Budget(rules.budget_ratio, rules.min_per_s, rules.min_per_s, now)
+
+
+def make_hedge_budget(rules: RetryRules, now: float) -> Budget:
+    """Make the hedge budget of one service at one entry; a ratio of 0 forbids hedges."""
+    per_s = rules.min_per_s * rules.hedge_ratio
+    return Budget(rules.hedge_ratio, per_s, min(1.0, rules.hedge_ratio * RATIO_BURST), now)
+
+
+def allowance_below(allowance: float, number: int) -> float:
+    """Return the retries that calls below attempt `number` may spend.
+
+    Args:
+        allowance: Retries that the call itself may spend.
+        number: 1 for the first attempt of the call.
+    """
+    return max(0.0, allowance - (number - 1))
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -1,70 +1,264 @@
 """Choice of an endpoint for an attempt, under load reports that are stale when read."""
 
+import itertools
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+from pollenroad.latencies import Latencies
+from pollenroad.loads import EndpointLoad, make_endpoint_load
 from pollenroad.messages import LoadReport
 from pollenroad.models import Endpoint, ServiceDocument
+from pollenroad.subsets import subset_of
 from pollenroad.verdicts import Verdict
 
+FIRST_GUESS_S = 0.02
+"""Latency in seconds that is assumed while nothing is known."""
+
+OVERDUE_QUANTILE = 0.95
+"""Quantile of a class's latency after which an attempt may be late."""
+
+OVERDUE_FACTOR = 1.5
+"""Multiple of the median below which no attempt is late, however narrow the latencies are."""
+
+FIRST_OVERDUE_S = 1.0
+"""Age in seconds from which an attempt is late while its class's latency is unknown."""
+
+LOAD_COST = 0.5
+"""Latencies that a fully used endpoint costs more than an idle one."""
+
+REMOTE_COST_S = 0.002
+"""Cost in seconds of another failure domain: the price of the way there and back."""
+
+STALL_COST = 3.0
+"""Cost of an endpoint that is late, in multiples of the time since it should have answered."""
+
+FAILURE_COST_S = 2.0
+"""Cost in seconds of an endpoint at which every attempt fails."""
+
+OUT_COST_S = 1000.0
+"""Cost in seconds of an endpoint that takes no new work: only used if all are out."""
+
+CLOSE_S = 0.001
+"""Endpoints whose cost is within so many seconds of the least are equally good."""
+
+
+@dataclass(frozen=True, slots=True)
+class Random:
+    """Any endpoint."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoundRobin:
+    """Each endpoint in turn."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeastInFlight:
+    """The endpoint with the fewest open attempts of this entry."""
+
+
+@dataclass(frozen=True, slots=True)
+class TwoChoices:
+    """The one of two random endpoints with fewer open attempts of this entry."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeastTime:
+    """The endpoint from which an answer is expected soonest."""
+
+
+Policy = Random | RoundRobin | LeastInFlight | TwoChoices | LeastTime
+"""How a router chooses; all but `LeastTime` are there to compare with."""
+
+POLICY_BY_NAME: dict[str, Policy] = {
+    "random": Random(),
+    "round-robin": RoundRobin(),
+    "least-in-flight": LeastInFlight(),
+    "two-choices": TwoChoices(),
+    "least-time": LeastTime(),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """An endpoint, and why it was chosen."""
 
-@dataclass(slots=True)
-class _EndpointLoad:
     endpoint: Endpoint
-    own_in_flight: int = 0
+    why: str
+    """`local`, `spill` (to another failure domain), `last` (all are out), or the policy's name."""
+
+
+@dataclass(frozen=True, slots=True)
+class RouterPlace:
+    """Where an entry stands, and how it chooses."""
+
+    failure_domain: str
+    ring_place: float = 0.0
+    """Place on the ring of subsets, from 0 up to 1."""
+    policy: Policy = LeastTime()
 
 
 class Router:
     """What one entry knows of the endpoints of one service."""
 
-    def __init__(self, document: ServiceDocument, failure_domain: str, rng: random.Random):
-        self._failure_domain = failure_domain
+    def __init__(self, document: ServiceDocument, place: RouterPlace, rng: random.Random):
+        self._place = place
         self._rng = rng
-        self._load_by_name: dict[str, _EndpointLoad] = {}
-        self.configure(document, 0.0)
+        self._turns = itertools.count()
+        self._load_by_name: dict[str, EndpointLoad] = {}
+        self._latencies_by_class: dict[str, Latencies] = {}
+        self.configure(document)
+
+    # --- Configuration ---
 
-    def configure(self, document: ServiceDocument, now: float) -> None:
+    def configure(self, document: ServiceDocument) -> None:
         """Take a newer document; what is known of endpoints that remain is kept."""
         out = document.out_of_service
-        self._document = document
-        self._load_by_name = {
-            e.name: self._load_by_name.get(e.name) or _EndpointLoad(e) for e in document.endpoints
-        }
-        self._usable = [
-            load
-            for load in self._load_by_name.values()
-            if load.endpoint.failure_domain not in out.failure_domains
-            and load.endpoint.vm not in out.vms
+        in_service = [
+            endpoint
+            for endpoint in document.endpoints
+            if endpoint.failure_domain not in out.failure_domains and endpoint.vm not in out.vms
         ]
+        subset = subset_of(
+            in_service, document.subset_size, self._place.ring_place, self._place.failure_domain
+        )
+        self._load_by_name = {e.name: self._load_of(e, document.slots) for e in subset}
+        self._usable = list(self._load_by_name.values())
 
-    def choose(self, tried: frozenset[str], now: float) -> Endpoint | None:
-        """Choose an endpoint, one not in `tried` if possible, or None if none is usable."""
-        candidates = [u for u in self._usable if u.endpoint.name not in tried] or self._usable
-        if not candidates:
-            return None
-        pair = self._rng.sample(candidates, min(2, len(candidates)))
-        return min(pair, key=lambda load: load.own_in_flight).endpoint
+    def _load_of(self, endpoint: Endpoint, slots: int) -> EndpointLoad:
+        load = self._load_by_name.get(endpoint.name)
+        if load is None or load.endpoint != endpoint:
+            return make_endpoint_load(endpoint, slots)
+        return load
+
+    # --- What is learned ---
 
     def learn(self, report: LoadReport, now: float) -> None:
         """Take a load report of one endpoint."""
+        load = self._load_by_name.get(report.endpoint)
+        if load is not None:
+            load.learn(report, now)
 
-    def sent(self, name: str, now: float) -> None:
+    def sent(self, name: str, attempt_id: str, class_name: str, now: float) -> None:
         """Count an attempt handed to the endpoint `name`."""
-        self._load_by_name[name].own_in_flight += 1
+        load = self._load_by_name[name]
+        load.sent(attempt_id, now + self.late_after_s(class_name))
+
+    def ended(self, name: str, attempt_id: str, verdict: Verdict, now: float) -> None:
+        """Count an attempt that ended without a whole answer."""
+        load = self._load_by_name.get(name)
+        if load is None:
+            return
+        match verdict:
+            case Verdict.NOT_RUN:
+                load.refused(attempt_id)
+            case _:
+                load.failed(attempt_id, now)
 
-    def ended(self, name: str, verdict: Verdict, latency_s: float, now: float) -> None:
-        """Count an attempt that ended with `verdict` after `latency_s` seconds."""
-        self.forget(name)
+    def answered(
+        self, name: str, attempt_id: str, class_name: str, latency_s: float, ok: bool, now: float
+    ) -> None:
+        """Count a whole answer after `latency_s` seconds; `ok` is false for a server error."""
+        load = self._load_by_name.get(name)
+        if load is None:
+            return
+        if not ok:
+            load.failed(attempt_id, now)
+            return
+        latencies = self._latencies_by_class.setdefault(class_name, Latencies())
+        load.answered(attempt_id, latency_s, latencies.quantile(0.5) or 0.0, now)
+        latencies.add(latency_s)
 
-    def forget(self, name: str) -> None:
-        """Count an attempt that ended without teaching anything."""
+    def cancelled(self, name: str, attempt_id: str, now: float) -> None:
+        """Count an attempt that this entry gave up."""
         load = self._load_by_name.get(name)
         if load is not None:
-            load.own_in_flight -= 1
+            load.cancelled(attempt_id, now)
+
+    def unreachable(self, address: str, now: float) -> None:
+        """Count a broken link to the daemon at `address`."""
+        for load in self._usable:
+            if load.endpoint.address == address:
+                load.unreachable(now)
+
+    # --- What is estimated ---
+
+    def late_after_s(self, class_name: str) -> float:
+        """Return the age in seconds from which an attempt of a request class is late."""
+        latencies = self._latencies_by_class.get(class_name)
+        quantile_s = latencies.quantile(OVERDUE_QUANTILE) if latencies else None
+        if quantile_s is None:
+            return FIRST_OVERDUE_S
+        return max(quantile_s, OVERDUE_FACTOR * latencies.quantile(0.5))
+
+    def spare_share(self, now: float) -> float:
+        """Estimate the share of all known bounds that is free, from 0 to 1."""
+        bound = sum(load.bound for load in self._usable if not load.is_out(now))
+        if not bound:
+            return 0.0
+        used = sum(load.in_flight(now) for load in self._usable if not load.is_out(now))
+        return max(0.0, 1.0 - used / bound)
+
+    def _cost_s(self, load: EndpointLoad, typical_s: float, now: float) -> float:
+        expected_s = load.expected_s(typical_s, now)
+        in_flight = load.in_flight(now)
+        bound = max(1, load.bound)
+        waiting = max(0.0, in_flight + 1 - bound)
+        cost_s = expected_s * (1 + LOAD_COST * in_flight / bound + waiting / bound)
+        cost_s += STALL_COST * load.overdue_s(now)
+        cost_s += FAILURE_COST_S * load.failure_share(now)
+        if load.endpoint.failure_domain != self._place.failure_domain:
+            cost_s += REMOTE_COST_S
+        if load.is_out(now):
+            cost_s += OUT_COST_S
+        return cost_s
+
+    # --- The choice ---
+
+    def choose(self, tried: set[str], class_name: str, now: float) -> Choice | None:
+        """Choose an endpoint, one not in `tried` if possible, or None if none is usable."""
+        candidates = [u for u in self._usable if u.endpoint.name not in tried] or self._usable
+        if not candidates:
+            return None
+        match self._place.policy:
+            case LeastTime():
+                return self._least_time(candidates, class_name, now)
+            case policy:
+                return Choice(self._compared(policy, candidates).endpoint, "policy")
+
+    def _compared(self, policy: Policy, candidates: Sequence[EndpointLoad]) -> EndpointLoad:
+        match policy:
+            case RoundRobin():
+                return candidates[next(self._turns) % len(candidates)]
+            case LeastInFlight():
+                group = self._rng.sample(candidates, len(candidates))
+            case TwoChoices():
+                group = self._rng.sample(candidates, min(2, len(candidates)))
+            case _:
+                group = [self._rng.choice(candidates)]
+        return min(group, key=lambda load: load.own_in_flight)
+
+    def _least_time(
+        self, candidates: Sequence[EndpointLoad], class_name: str, now: float
+    ) -> Choice:
+        latencies = self._latencies_by_class.get(class_name)
+        typical_s = (latencies.quantile(0.5) if latencies else None) or FIRST_GUESS_S
+        costs = [(self._cost_s(load, typical_s, now), load) for load in candidates]
+        least_s = min(cost_s for cost_s, _ in costs)
+        close = [(cost_s, load) for cost_s, load in costs if cost_s <= least_s + CLOSE_S]
+        pair = self._rng.sample(close, min(2, len(close)))
+        cost_s, load = min(pair, key=lambda item: item[0])
+        return Choice(load.endpoint, self._why(load, cost_s))
+
+    def _why(self, load: EndpointLoad, cost_s: float) -> str:
+        if cost_s >= OUT_COST_S:
+            return "last"
+        if load.endpoint.failure_domain == self._place.failure_domain:
+            return "local"
+        return "spill"
 
 
-def make_router(
-    document: ServiceDocument, failure_domain: str, rng: random.Random, now: float
-) -> Router:
-    """Make the router of one service for an entry in `failure_domain`."""
-    return Router(document, failure_domain, rng)
+def make_router(document: ServiceDocument, place: RouterPlace, rng: random.Random) -> Router:
+    """Make the router of one service for an entry at `place`."""
+    return Router(document, place, rng)
