Carry a call through entry, guard and server as separate processes

Cause: the cores had nothing round them. Change: settings, event catalogue, logs, frames, peer links, HTTP towards callers, exchange with the server, daemon, operator port, platform reader, command line that checks arguments before fire calls anything, stand-ins for server and platform, and one runner for benches and demo.

--- /dev/null
+++ b/src/pollenroad/bench/fleet.py
@@ -0,0 +1,270 @@
+"""The runner that benches and the demo share: a fleet of real processes on loopback.
+
+Starts the platform stand-in, a server stand-in and a daemon for each endpoint of the given
+documents, and ends exactly the processes that it started.
+"""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+import urllib3
+
+from pollenroad.addresses import host_of
+from pollenroad.models import Document, Endpoint, ServiceDocument
+
+START_TIMEOUT_S = 20.0
+CALL_PORT = 7000
+SERVER_PORT = 7200
+OPERATOR_PORT = 7300
+PLATFORM_ADDRESS = "127.0.9.1:7400"
+
+_HTTP = urllib3.PoolManager(maxsize=8)
+
+
+class FleetError(Exception):
+    """A process of the fleet did not start, or ended too early."""
+
+
+def http(method: str, address: str, path: str, body: object = None, timeout_s: float = 5.0):
+    """Make one control request to a process of the fleet.
+
+    Args:
+        method: HTTP method.
+        address: `HOST:PORT`.
+        path: Path on it.
+        body: Bytes as they are, or anything else as JSON; None for no body.
+        timeout_s: Longest wait, in seconds.
+
+    Returns:
+        The decoded JSON of the answer.
+
+    Raises:
+        FleetError: If the status is not 200.
+    """
+    data = body if isinstance(body, bytes | None) else msgspec.json.encode(body)
+    fields = {"Content-Type": "application/json"} if data is not None else {}
+    url = f"http://{address}{path}"
+    answer = _HTTP.request(method, url, body=data, headers=fields, timeout=timeout_s, retries=False)
+    if answer.status != 200:
+        raise FleetError(f"{url}: status {answer.status}")
+    return msgspec.json.decode(answer.data)
+
+
+def poll(condition: Callable[[], bool], what: str, timeout_s: float = START_TIMEOUT_S) -> None:
+    """Wait until `condition` holds.
+
+    Raises:
+        FleetError: After `timeout_s` seconds, naming `what`.
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        with contextlib.suppress(urllib3.exceptions.HTTPError, FleetError):
+            if condition():
+                return
+        time.sleep(0.02)
+    raise FleetError(f"{what}: not within {timeout_s:g} s")
+
+
+@dataclass(slots=True)
+class Node:
+    """One VM of the fleet: its server and its daemon."""
+
+    endpoint: Endpoint
+    service: str
+    server: subprocess.Popen
+    daemon: subprocess.Popen
+    settings_path: str
+
+    @property
+    def host(self) -> str:
+        """IP number of the VM."""
+        return host_of(self.endpoint.address)
+
+    @property
+    def call_address(self) -> str:
+        """Where callers reach the daemon."""
+        return f"{self.host}:{CALL_PORT}"
+
+    @property
+    def server_address(self) -> str:
+        """Where the server listens."""
+        return f"{self.host}:{SERVER_PORT}"
+
+    @property
+    def operator_address(self) -> str:
+        """Where operators reach the daemon."""
+        return f"{self.host}:{OPERATOR_PORT}"
+
+    def ledger(self) -> dict:
+        """Return the server's ledger."""
+        return http("GET", self.server_address, "/-/ledger")
+
+    def control(self, **model: object) -> None:
+        """Change how the server behaves."""
+        http("PUT", self.server_address, "/-/control", model)
+
+    def ready(self) -> bool:
+        """Whether the daemon takes work."""
+        return http("GET", self.operator_address, "/ready")["ready"]
+
+
+@dataclass(slots=True)
+class FleetPlan:
+    """What to start.
+
+    Attributes:
+        documents: Documents to publish; each endpoint of a service becomes a node.
+        model_by_service: Server stand-in's model, by service key.
+        settings: Further settings of every daemon.
+        vm_lag_s: Lag of the platform's list of VMs, in seconds.
+    """
+
+    documents: tuple[Document, ...]
+    model_by_service: dict[str, dict] = field(default_factory=dict)
+    settings: dict[str, object] = field(default_factory=dict)
+    vm_lag_s: float = 0.0
+
+
+class Fleet:
+    """A running fleet. Use `running_fleet` to make and end one."""
+
+    def __init__(self, plan: FleetPlan, folder: Path):
+        self.plan = plan
+        self.node_by_vm: dict[str, Node] = {}
+        self._folder = folder
+        self._log = (folder / "processes.log").open("ab")
+        self._processes: list[subprocess.Popen] = []
+        self._document_by_key = {document.key: document for document in plan.documents}
+
+    @property
+    def nodes(self) -> list[Node]:
+        """All nodes."""
+        return list(self.node_by_vm.values())
+
+    def nodes_of(self, service: str) -> list[Node]:
+        """Return the nodes of one service."""
+        return [node for node in self.nodes if node.service == service]
+
+    @property
+    def log_path(self) -> Path:
+        """Standard error of every process."""
+        return self._folder / "processes.log"
+
+    def _spawn(self, *arguments: str) -> subprocess.Popen:
+        command = [sys.executable, "-m", "pollenroad.cli", *arguments]
+        process = subprocess.Popen(command, stdout=self._log, stderr=self._log)
+        self._processes.append(process)
+        return process
+
+    def start(self) -> None:
+        """Start everything and wait until every daemon takes work."""
+        model = json.dumps({"vm_lag_s": self.plan.vm_lag_s})
+        self._spawn("stand-in", "platform", PLATFORM_ADDRESS, "--model", model)
+        poll(lambda: "reads" in http("GET", PLATFORM_ADDRESS, "/control/reads"), "platform")
+        for document in self.plan.documents:
+            self.publish(document)
+        for document in self.plan.documents:
+            if isinstance(document, ServiceDocument):
+                for endpoint in document.endpoints:
+                    self._start_node(document.key, endpoint)
+        self.publish_vms()
+        for node in self.nodes:
+            poll(node.ready, f"daemon on {node.endpoint.vm}")
+
+    def _start_node(self, service: str, endpoint: Endpoint) -> None:
+        server = self.start_server(service, endpoint)
+        path = self._write_settings(service, endpoint)
+        daemon = self._spawn("daemon", "--settings", path)
+        self.node_by_vm[endpoint.vm] = Node(endpoint, service, server, daemon, path)
+
+    def start_server(self, service: str, endpoint: Endpoint) -> subprocess.Popen:
+        """Start the server stand-in of an endpoint."""
+        model = {"name": endpoint.name, **self.plan.model_by_service.get(service, {})}
+        address = f"{host_of(endpoint.address)}:{SERVER_PORT}"
+        return self._spawn("stand-in", "server", address, "--model", json.dumps(model))
+
+    def start_daemon(self, node: Node) -> None:
+        """Start the daemon of a node again, after it has ended."""
+        node.daemon = self._spawn("daemon", "--settings", node.settings_path)
+
+    def _write_settings(self, service: str, endpoint: Endpoint) -> str:
+        host = host_of(endpoint.address)
+        settings = {
+            "vm": endpoint.vm,
+            "failure_domain": endpoint.failure_domain,
+            "service": service,
+            "server": f"{host}:{SERVER_PORT}",
+            "call_address": f"{host}:{CALL_PORT}",
+            "peer_address": endpoint.address,
+            "operator_address": f"{host}:{OPERATOR_PORT}",
+            "platform": [PLATFORM_ADDRESS],
+            "log_level": "WARNING",
+            **self.plan.settings,
+        }
+        path = self._folder / f"{endpoint.vm}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        return str(path)
+
+    def document(self, key: str) -> Document:
+        """Return the document published last under `key`."""
+        return self._document_by_key[key]
+
+    def publish(self, document: Document) -> None:
+        """Publish a document on the platform."""
+        self._document_by_key[document.key] = document
+        data = msgspec.json.encode(document)
+        http("PUT", PLATFORM_ADDRESS, f"/control/documents/{document.key}", data)
+
+    def publish_vms(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Publish the list of VMs, those in `leaving` as leaving."""
+        vms = [
+            {
+                "name": node.endpoint.vm,
+                "address": node.endpoint.address,
+                "failure_domain": node.endpoint.failure_domain,
+                "state": "leaving" if node.endpoint.vm in leaving else "live",
+            }
+            for node in self.nodes
+        ]
+        http("PUT", PLATFORM_ADDRESS, "/control/vms", vms)
+
+    def platform_faults(self, **faults: bool) -> None:
+        """Set the platform's faults `down` and `stale`."""
+        http("PUT", PLATFORM_ADDRESS, "/control/faults", faults)
+
+    def platform_reads(self) -> int:
+        """Return how many reads the platform has counted."""
+        return http("GET", PLATFORM_ADDRESS, "/control/reads")["reads"]
+
+    def stop(self) -> None:
+        """End every process that this fleet started."""
+        for process in self._processes:
+            if process.poll() is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGCONT)
+                process.kill()
+        for process in self._processes:
+            process.wait()
+        self._log.close()
+
+
+@contextlib.contextmanager
+def running_fleet(plan: FleetPlan) -> Iterator[Fleet]:
+    """Run a fleet for the length of a `with` block."""
+    with tempfile.TemporaryDirectory(prefix="pollenroad-") as folder:
+        fleet = Fleet(plan, Path(folder))
+        try:
+            fleet.start()
+            yield fleet
+        finally:
+            fleet.stop()
--- /dev/null
+++ b/src/pollenroad/bench/load.py
@@ -0,0 +1,213 @@
+"""An open-loop load generator, in processes of its own, and the records that it leaves.
+
+`python -m pollenroad.bench.load PLAN RECORDS` makes the calls of the plan file (JSON) and writes
+one JSON line a call.
+"""
+
+import random
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+RUN_SLACK_S = 15.0
+
+
+class CallMix(msgspec.Struct, frozen=True, kw_only=True):
+    """One kind of call in the load."""
+
+    service: str
+    request_class: str = ""
+    customer: str = "anonymous"
+    rate_per_s: float
+    """Mean rate; arrivals are Poisson."""
+    method: str = "GET"
+    body_bytes: int = 0
+    deadline_ms: float = 0.0
+
+
+class LoadPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """What one generator process does."""
+
+    entries: tuple[str, ...]
+    """Call addresses, chosen at random for each call; or servers, when `direct`."""
+    mixes: tuple[CallMix, ...]
+    seconds: float
+    seed: int = 1
+    direct: bool = False
+    """Call servers without the product between, for comparisons."""
+    timeout_s: float = 10.0
+
+
+class CallRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One call as its caller saw it."""
+
+    request_id: str
+    service: str
+    request_class: str
+    customer: str
+    started: float
+    """Wall clock, in seconds since the epoch."""
+    latency_s: float
+    status: int
+    """HTTP status; 0 if there was no whole answer."""
+    verdict: str
+    """`ran`, `not-run`, `unknown`, or empty if there was no answer."""
+    reason: str = ""
+    attempts: int = 0
+    endpoint: str = ""
+    own: bool = True
+    """Whether the answer names this request."""
+
+
+def _arrivals(plan: LoadPlan) -> Iterator[tuple[float, CallMix, str, str]]:
+    """Yield offset, mix, entry and request id of each call, in order of time."""
+    rng = random.Random(plan.seed)
+    total = sum(mix.rate_per_s for mix in plan.mixes)
+    weights = [mix.rate_per_s for mix in plan.mixes]
+    offset = 0.0
+    count = 0
+    while True:
+        offset += rng.expovariate(total)
+        if offset >= plan.seconds:
+            return
+        count += 1
+        mix = rng.choices(plan.mixes, weights)[0]
+        yield offset, mix, rng.choice(plan.entries), f"r{plan.seed}-{count}"
+
+
+def _make_call(pools, plan: LoadPlan, mix: CallMix, entry: str, request_id: str) -> CallRecord:
+    from pollenroad import headers
+
+    fields = {
+        headers.REQUEST_ID: request_id,
+        headers.CUSTOMER: mix.customer,
+        headers.REQUEST_CLASS: mix.request_class,
+    }
+    if mix.deadline_ms:
+        fields[headers.DEADLINE_MS] = f"{mix.deadline_ms:g}"
+    prefix = "" if plan.direct else f"/{mix.service}"
+    started, begin = time.time(), time.monotonic()
+    try:
+        answer = pools.request(
+            mix.method,
+            f"http://{entry}{prefix}/item",
+            headers=fields,
+            body=b"x" * mix.body_bytes or None,
+            timeout=plan.timeout_s,
+            retries=False,
+        )
+    except Exception as error:
+        return _record(mix, request_id, started, begin, 0, "", type(error).__name__)
+    own = answer.status != 200 or f'"{request_id}"'.encode() in answer.data
+    return _record(
+        mix,
+        request_id,
+        started,
+        begin,
+        answer.status,
+        answer.headers.get(headers.VERDICT, "ran" if plan.direct else ""),
+        answer.headers.get(headers.REASON, ""),
+        int(answer.headers.get(headers.ATTEMPTS, 0)),
+        answer.headers.get(headers.ENDPOINT, ""),
+        own,
+    )
+
+
+def _record(
+    mix, request_id, started, begin, status, verdict, reason="", attempts=0, endpoint="", own=True
+) -> CallRecord:
+    return CallRecord(
+        request_id=request_id,
+        service=mix.service,
+        request_class=mix.request_class,
+        customer=mix.customer,
+        started=started,
+        latency_s=time.monotonic() - begin,
+        status=status,
+        verdict=verdict,
+        reason=reason,
+        attempts=attempts,
+        endpoint=endpoint,
+        own=own,
+    )
+
+
+def generate(plan: LoadPlan, write) -> None:
+    """Make the calls of a plan, each in its own task, and write their records.
+
+    Args:
+        plan: What to do.
+        write: Takes each record as one line of JSON, in bytes.
+    """
+    import gevent
+    import urllib3
+
+    pools = urllib3.PoolManager(num_pools=64, maxsize=1024)
+    encoder = msgspec.json.Encoder()
+
+    def one(mix: CallMix, entry: str, request_id: str) -> None:
+        record = _make_call(pools, plan, mix, entry, request_id)
+        write(encoder.encode(record) + b"\n")
+
+    begin = time.monotonic()
+    tasks = []
+    for offset, mix, entry, request_id in _arrivals(plan):
+        wait_s = begin + offset - time.monotonic()
+        if wait_s > 0:
+            gevent.sleep(wait_s)
+        tasks.append(gevent.spawn(one, mix, entry, request_id))
+    gevent.joinall(tasks, timeout=plan.timeout_s + 1)
+
+
+class Generator:
+    """A generator process under way.
+
+    Args:
+        plan: What it does.
+        folder: Where plan and records are kept.
+    """
+
+    def __init__(self, plan: LoadPlan, folder: Path):
+        name = f"load-{plan.seed}-{time.monotonic_ns()}"
+        self._records = folder / f"{name}.jsonl"
+        self._plan = plan
+        plan_path = folder / f"{name}.json"
+        plan_path.write_bytes(msgspec.json.encode(plan))
+        command = [sys.executable, "-m", "pollenroad.bench.load"]
+        self._process = subprocess.Popen([*command, str(plan_path), str(self._records)])
+
+    def records(self) -> list[CallRecord]:
+        """Wait for the end and return the records."""
+        try:
+            self._process.wait(self._plan.seconds + self._plan.timeout_s + RUN_SLACK_S)
+        finally:
+            if self._process.poll() is None:
+                self._process.kill()
+                self._process.wait()
+        decode = msgspec.json.Decoder(CallRecord).decode
+        return [decode(line) for line in self._records.read_bytes().splitlines()]
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the value below which `share` of the values lie; 0 for no values."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _main(plan_path: str, records_path: str) -> None:
+    from gevent import monkey
+
+    monkey.patch_all()
+    plan = msgspec.json.decode(Path(plan_path).read_bytes(), type=LoadPlan)
+    with open(records_path, "wb") as file:
+        generate(plan, file.write)
+
+
+if __name__ == "__main__":
+    _main(*sys.argv[1:])
--- /dev/null
+++ b/src/pollenroad/commands/bench.py
@@ -0,0 +1,45 @@
+"""`pollenroad bench`: run one measurement."""
+
+import importlib
+import json as json_module
+import sys
+from pathlib import Path
+
+BENCHES = (
+    "added-latency",
+    "peer-link",
+    "tail",
+    "overload",
+    "failure-domain",
+    "measuring",
+    "limits",
+    "config",
+    "membership",
+    "faults",
+    "capacity",
+)
+
+
+def run(name: str, *, json: bool = False, seed: int = 1, out: str = "") -> int:
+    """Run one measurement on this machine, over loopback.
+
+    Args:
+        name: added-latency, peer-link, tail, overload, failure-domain, measuring, limits, config,
+            membership, faults or capacity.
+        json: Print the result as one JSON object on the last line.
+        seed: Seed of the load and of the faults.
+        out: File that also gets the JSON, for `pollenroad report`.
+
+    Returns:
+        0 if every target holds, 1 if not or if the measurement failed.
+    """
+    if name not in BENCHES:
+        print(f"no bench {name!r}; there are: {', '.join(BENCHES)}", file=sys.stderr)
+        return 1
+    module = importlib.import_module(f"pollenroad.bench.{name.replace('-', '_')}")
+    result = module.run(seed=seed)
+    line = json_module.dumps(result)
+    if out:
+        Path(out).write_text(line + "\n")
+    print(line if json else json_module.dumps(result, indent=2))
+    return 0 if result.get("ok", True) else 1
--- /dev/null
+++ b/src/pollenroad/commands/daemon.py
@@ -0,0 +1,34 @@
+"""`pollenroad daemon`: run the daemon of one VM."""
+
+import signal
+import sys
+
+import gevent
+from returns.result import Failure, Success
+
+from pollenroad.daemon import make_daemon
+from pollenroad.logs import configure_logs
+from pollenroad.settings import load_settings
+
+
+def run(settings: str) -> int:
+    """Run the daemon of one VM until SIGTERM; then finish what is in flight and exit.
+
+    Args:
+        settings: Path of the settings file, JSON; see docs/operators/install.md.
+
+    Returns:
+        0 after a graceful stop, 1 if the settings are refused.
+    """
+    match load_settings(settings):
+        case Failure(error):
+            print(error, file=sys.stderr)
+            return 1
+        case Success(checked):
+            configure_logs(checked.log_level, checked.vm)
+            daemon = make_daemon(checked)
+            gevent.signal_handler(signal.SIGTERM, daemon.stop)
+            gevent.signal_handler(signal.SIGINT, daemon.stop)
+            daemon.start()
+            daemon.wait()
+    return 0
--- /dev/null
+++ b/src/pollenroad/daemon.py
@@ -0,0 +1,224 @@
+"""The daemon: one process per VM, which drives the cores over sockets.
+
+All events go through one inbox and are handled one at a time; the actions that come out are
+carried out at once, and none of them blocks.
+"""
+
+import random
+import secrets
+import time
+from collections import deque
+
+import gevent
+from gevent.event import Event as Flag
+
+from pollenroad.boundary import (
+    Action,
+    AnswerCall,
+    CancelAtServer,
+    DocumentInForce,
+    Event,
+    Record,
+    RunAtServer,
+    SendPeer,
+    StopRequested,
+    Tick,
+)
+from pollenroad.entry import make_entry
+from pollenroad.exceptions import PlatformError
+from pollenroad.guard import make_guard
+from pollenroad.http import Calls, make_call_app, make_call_server
+from pollenroad.logs import LOGGER, log
+from pollenroad.models import Document
+from pollenroad.operator_http import make_operator_server
+from pollenroad.peers import Identity, Peers
+from pollenroad.platform import Platform
+from pollenroad.recent import RecentRecords
+from pollenroad.settings import Settings
+from pollenroad.upstream import Upstream
+
+POLL_WHILE_DRAINING_S = 0.02
+LEAVING_NOTICE_S = 0.2
+"""Time between the last answer and the closing of links, so that it leaves the process."""
+
+
+class Daemon:
+    """One daemon: entry, guard, and the sockets round them."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.incarnation = f"{settings.vm}-{secrets.token_hex(4)}"
+        self.document_by_key: dict[str, Document] = {}
+        self.recent = RecentRecords(settings.recent_records)
+        self.stopping = False
+        self._ended = Flag()
+        self._inbox: deque[Event] = deque()
+        self._draining_inbox = False
+        self._timer_wake = Flag()
+        self._timer_due = float("inf")
+        rng = random.Random(self.incarnation)
+        self.entry = make_entry(self.incarnation, settings.failure_domain, rng)
+        self.guard = make_guard(settings.service, settings.vm)
+        self.calls = Calls(self.post)
+        self.upstream = Upstream(settings.server, self.post)
+        self.peers = Peers(self._identity(), self.post, self._is_member)
+        self.platform = Platform(settings.platform)
+        app = make_call_app(self.calls)
+        self._call_server = make_call_server(settings.call_address, app, settings.max_connections)
+        self._operator_server = make_operator_server(self)
+
+    def _identity(self) -> Identity:
+        settings = self.settings
+        return Identity(
+            settings.vm,
+            settings.peer_address,
+            self.incarnation,
+            settings.failure_domain,
+            settings.peer_key,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether this daemon holds configuration and takes work."""
+        return bool(self.document_by_key) and not self.stopping
+
+    # --- Events and actions ---
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the cores and carry out what they decide."""
+        self._inbox.append(event)
+        if self._draining_inbox:
+            return
+        self._draining_inbox = True
+        try:
+            while self._inbox:
+                self._handle(self._inbox.popleft())
+        finally:
+            self._draining_inbox = False
+        self._schedule_tick()
+
+    def _handle(self, event: Event) -> None:
+        now = time.monotonic()
+        for core in (self.entry, self.guard):
+            for action in core.handle(event, now):
+                self._perform(action)
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case SendPeer(peer, message):
+                self.peers.send(peer, message)
+            case AnswerCall():
+                self.calls.answer(action)
+            case RunAtServer(attempt, timeout_s):
+                self.upstream.run(attempt, timeout_s)
+            case CancelAtServer(attempt_id):
+                self.upstream.cancel(attempt_id)
+            case Record(name, fields):
+                self.recent.add(name, fields)
+                log(name, **dict(fields))
+
+    def _schedule_tick(self) -> None:
+        due = self._next_due()
+        if due < self._timer_due:
+            self._timer_wake.set()
+
+    def _next_due(self) -> float:
+        dues = (core.next_due() for core in (self.entry, self.guard))
+        return min((due for due in dues if due is not None), default=float("inf"))
+
+    def _run_timer(self) -> None:
+        while True:
+            self._timer_wake.clear()
+            self._timer_due = self._next_due()
+            wait_s = self._timer_due - time.monotonic()
+            if wait_s > 0:
+                self._timer_wake.wait(None if wait_s == float("inf") else wait_s)
+            if time.monotonic() >= self._timer_due:
+                self._timer_due = float("inf")
+                self.post(Tick())
+
+    # --- Configuration ---
+
+    def _is_member(self, address: str) -> bool:
+        return any(
+            endpoint.address == address
+            for document in self.document_by_key.values()
+            for endpoint in getattr(document, "endpoints", ())
+        )
+
+    def _follow_platform(self) -> None:
+        revision = -1
+        while True:
+            try:
+                revision = self._read_changes(revision)
+            except PlatformError as error:
+                log("platform_failed", reason=str(error))
+                gevent.sleep(1.0)
+
+    def _read_changes(self, revision: int) -> int:
+        if revision < 0:
+            listing = self.platform.list_documents()
+            changed, revision = listing.versions, listing.revision
+        else:
+            watch = self.platform.watch(revision)
+            changed, revision = watch.changed, watch.revision
+        for key in changed:
+            self._accept(self.platform.read_document(key))
+        return revision
+
+    def _accept(self, document: Document) -> None:
+        held = self.document_by_key.get(document.key)
+        if held is not None and held.version >= document.version:
+            return
+        self.document_by_key[document.key] = document
+        log("document_in_force", key=document.key, version=document.version)
+        self.post(DocumentInForce(document))
+
+    # --- Life ---
+
+    def start(self) -> None:
+        """Listen, and start to read configuration."""
+        self.peers.start()
+        self._call_server.start()
+        self._operator_server.start()
+        gevent.spawn(self._run_timer)
+        gevent.spawn(self._follow_platform)
+        log("daemon_started", call_address=self.settings.call_address)
+
+    def stop(self) -> None:
+        """Refuse new work, finish what is in flight, and end. Returns at once."""
+        if not self.stopping:
+            self.stopping = True
+            gevent.spawn(self._drain)
+
+    def _drain(self) -> None:
+        log("daemon_stopping", in_flight=self.guard.in_flight, calls=len(self.calls))
+        self.post(StopRequested())
+        document = self.document_by_key.get(self.settings.service)
+        limit_s = document.drain_s if document else self.settings.stop_grace_s
+        deadline = time.monotonic() + limit_s
+        while time.monotonic() < deadline and (self.guard.in_flight or len(self.calls)):
+            gevent.sleep(POLL_WHILE_DRAINING_S)
+        if self.guard.in_flight or len(self.calls):
+            log("drain_timeout", in_flight=self.guard.in_flight, calls=len(self.calls))
+        gevent.sleep(LEAVING_NOTICE_S)
+        self._call_server.stop(timeout=1)
+        self.peers.stop()
+        self._operator_server.stop(timeout=1)
+        log("daemon_stopped")
+        self._ended.set()
+
+    def wait(self) -> None:
+        """Block until the daemon has ended."""
+        self._ended.wait()
+
+
+def _log_task_failure(context, kind, value, traceback) -> None:
+    if not issubclass(kind, gevent.get_hub().NOT_ERROR):
+        LOGGER.error("internal_error", exc_info=(kind, value, traceback))
+
+
+def make_daemon(settings: Settings) -> Daemon:
+    """Make a daemon, not yet started."""
+    gevent.get_hub().handle_error = _log_task_failure
+    return Daemon(settings)
--- /dev/null
+++ b/src/pollenroad/headers.py
@@ -0,0 +1,54 @@
+"""Header names of the caller and server interfaces, and what may pass through."""
+
+from collections.abc import Iterable, Iterator
+
+CUSTOMER = "Pollenroad-Customer"
+REQUEST_CLASS = "Pollenroad-Class"
+DEADLINE_MS = "Pollenroad-Deadline-Ms"
+REQUEST_ID = "Pollenroad-Request-Id"
+ATTEMPT_ID = "Pollenroad-Attempt-Id"
+DEPTH = "Pollenroad-Depth"
+RETRY_BUDGET = "Pollenroad-Retry-Budget"
+VERDICT = "Pollenroad-Verdict"
+REASON = "Pollenroad-Reason"
+ATTEMPTS = "Pollenroad-Attempts"
+ENDPOINT = "Pollenroad-Endpoint"
+RETRY_AFTER_MS = "Pollenroad-Retry-After-Ms"
+NOT_RUN = "Pollenroad-Not-Run"
+"""A server's own refusal: the request did not run there."""
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers of one connection, from RFC 9110 section 7.6.1."""
+
+_OWN_PREFIX = "pollenroad-"
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> Iterator[tuple[str, str]]:
+    """Yield the headers that go on to the other side.
+
+    Hop-by-hop headers, those that `Connection` names, and this product's own are left out.
+    """
+    pairs = [(name, value) for name, value in headers]
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    for name, value in pairs:
+        lower = name.lower()
+        if lower in HOP_BY_HOP or lower in named or lower.startswith(_OWN_PREFIX):
+            continue
+        yield name, value
--- /dev/null
+++ b/src/pollenroad/operator_http.py
@@ -0,0 +1,57 @@
+"""The HTTP side towards operators: health, readiness and what the daemon knows."""
+
+import bottle
+from gevent.pywsgi import WSGIServer
+
+from pollenroad.addresses import split_address
+
+
+def _status(daemon) -> dict:
+    settings = daemon.settings
+    return {
+        "vm": settings.vm,
+        "failure_domain": settings.failure_domain,
+        "service": settings.service,
+        "incarnation": daemon.incarnation,
+        "ready": daemon.ready,
+        "stopping": daemon.stopping,
+        "in_flight": daemon.guard.in_flight,
+        "open_calls": len(daemon.calls),
+        "versions": {key: doc.version for key, doc in daemon.document_by_key.items()},
+    }
+
+
+def make_operator_app(daemon) -> bottle.Bottle:
+    """Make the application that operators and the platform's checks reach."""
+    app = bottle.Bottle()
+
+    @app.get("/health")
+    def health():
+        return {"healthy": True}
+
+    @app.get("/ready")
+    def ready():
+        bottle.response.status = 200 if daemon.ready else 503
+        return {"ready": daemon.ready}
+
+    @app.get("/status")
+    def status():
+        return _status(daemon)
+
+    @app.get("/recent/<request_id>")
+    def recent(request_id: str):
+        records = daemon.recent.of_request(request_id)
+        return {
+            "vm": daemon.settings.vm,
+            "records": [
+                {"time": r.time, "event": r.event, "fields": dict(r.fields)} for r in records
+            ],
+        }
+
+    return app
+
+
+def make_operator_server(daemon) -> WSGIServer:
+    """Make the operators' HTTP server of a daemon, not yet started."""
+    address = split_address(daemon.settings.operator_address)
+    return WSGIServer(address, make_operator_app(daemon), log=None, error_log=None)
--- /dev/null
+++ b/src/pollenroad/peers.py
@@ -0,0 +1,267 @@
+"""Links between daemons: TCP connections that carry frames, each owned by its own tasks.
+
+A daemon dials a peer to send it attempts; answers come back over the same link. A dialled link
+that breaks tells the daemon which attempts never left (`AttemptUnsent`) and that the rest have an
+unknown fate (`PeerLost`).
+"""
+
+import hashlib
+import hmac
+import secrets
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import Event as Flag
+from gevent.server import StreamServer
+
+from pollenroad.addresses import host_of, split_address
+from pollenroad.boundary import AttemptUnsent, Event, PeerLost, PeerReceived
+from pollenroad.exceptions import PeerError
+from pollenroad.frames import encode_frame, read_message
+from pollenroad.logs import log
+from pollenroad.messages import (
+    PROTOCOL_VERSION,
+    Attempt,
+    AttemptAnswer,
+    Hello,
+    LoadReport,
+    PeerMessage,
+)
+
+DIAL_TIMEOUT_S = 0.5
+HELLO_TIMEOUT_S = 2.0
+HELLO_MAX_BYTES = 4096
+MAX_OUTBOX_BYTES = 33_554_432
+"""Bytes waiting for one peer, above which its link is closed."""
+MAX_INBOUND_LINKS = 12_000
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """How a daemon presents itself to its peers."""
+
+    vm: str
+    address: str
+    incarnation: str
+    failure_domain: str
+    key: str = ""
+
+
+def set_no_delay(sock) -> None:
+    """Send small frames at once instead of waiting for the acknowledgement of earlier ones."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def _proof(key: str, nonce: str, address: str) -> str:
+    if not key:
+        return ""
+    return hmac.new(key.encode(), f"{nonce} {address}".encode(), hashlib.sha256).hexdigest()
+
+
+class _Link:
+    """One open connection: an outbox, a task that writes it, and a task that reads."""
+
+    def __init__(self, sock, stream, peer: str, on_closed: Callable):
+        self.peer = peer
+        self.received_bytes = 0
+        self.sent_bytes = 0
+        self._sock = sock
+        self._stream = stream
+        self._on_closed = on_closed
+        self._outbox = deque()
+        self._outbox_bytes = 0
+        self._wake = Flag()
+        self._closed = False
+        self._writer = gevent.spawn(self._write)
+
+    def send(self, message: PeerMessage) -> None:
+        frame = encode_frame(message)
+        self._outbox.append((message, frame))
+        self._outbox_bytes += len(frame)
+        if self._outbox_bytes > MAX_OUTBOX_BYTES:
+            self.close()
+        self._wake.set()
+
+    def _write(self) -> None:
+        try:
+            while not self._closed:
+                if not self._outbox:
+                    self._wake.clear()
+                    self._wake.wait()
+                    continue
+                self._write_next()
+        except OSError:
+            self.close()
+
+    def _write_next(self) -> None:
+        _, frame = self._outbox.popleft()
+        self._outbox_bytes -= len(frame)
+        self._sock.sendall(frame)
+        self.sent_bytes += len(frame)
+
+    def read(self, on_message: Callable[[PeerMessage], None]) -> None:
+        """Pass on every message until the link ends."""
+        try:
+            while not self._closed and (message := read_message(self._stream)) is not None:
+                on_message(message)
+        except PeerError as error:
+            log("peer_refused", peer=self.peer, reason=str(error))
+        except OSError:
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self._wake.set()
+        self._sock.close()
+        unsent = [message for message, _ in self._outbox]
+        self._on_closed(self, unsent)
+
+
+class Peers:
+    """All links of one daemon.
+
+    Args:
+        identity: How this daemon presents itself.
+        post: Takes events for the cores.
+        is_member: Tells whether a peer address belongs to a known daemon.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        post: Callable[[Event], None],
+        is_member: Callable[[str], bool],
+    ):
+        self._identity = identity
+        self._post = post
+        self._is_member = is_member
+        self._dialled_by_peer: dict[str, _Link] = {}
+        self._accepted_by_peer: dict[str, _Link] = {}
+        self._pending_by_peer: dict[str, list[PeerMessage]] = {}
+        self._server = StreamServer(split_address(identity.address), self._accept, backlog=1024)
+
+    def start(self) -> None:
+        """Listen for peers."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the listener and every link."""
+        self._server.stop()
+        for link in [*self._dialled_by_peer.values(), *self._accepted_by_peer.values()]:
+            link.close()
+
+    def send(self, peer: str, message: PeerMessage) -> None:
+        """Send one message; never blocks."""
+        if peer == self._identity.address:
+            self._post(PeerReceived(peer, message))
+            return
+        link = self._link_for(peer, message)
+        if link is not None:
+            link.send(message)
+        elif peer in self._pending_by_peer:
+            self._pending_by_peer[peer].append(message)
+        else:
+            self._pending_by_peer[peer] = [message]
+            gevent.spawn(self._dial, peer)
+
+    def _link_for(self, peer: str, message: PeerMessage) -> _Link | None:
+        match message:
+            case AttemptAnswer() | LoadReport():
+                return self._accepted_by_peer.get(peer) or self._dialled_by_peer.get(peer)
+            case _:
+                return self._dialled_by_peer.get(peer)
+
+    # --- Dialling ---
+
+    def _dial(self, peer: str) -> None:
+        try:
+            link = self._connect(peer)
+        except (OSError, PeerError, gevent.Timeout) as error:
+            log("peer_lost", peer=peer, reason=str(error))
+            self._report_unsent(self._pending_by_peer.pop(peer))
+            return
+        self._dialled_by_peer[peer] = link
+        for message in self._pending_by_peer.pop(peer):
+            link.send(message)
+        log("peer_connected", peer=peer)
+        link.read(lambda message: self._post(PeerReceived(peer, message)))
+
+    def _connect(self, peer: str) -> _Link:
+        source = (host_of(self._identity.address), 0)
+        sock = gevent.socket.create_connection(split_address(peer), DIAL_TIMEOUT_S, source)
+        try:
+            with gevent.Timeout(HELLO_TIMEOUT_S):
+                stream = sock.makefile("rb")
+                challenge = read_message(stream, HELLO_MAX_BYTES)
+                if not isinstance(challenge, Hello):
+                    raise PeerError("no hello")
+                sock.settimeout(None)
+                set_no_delay(sock)
+                sock.sendall(encode_frame(self._hello(challenge.incarnation)))
+        except BaseException:
+            sock.close()
+            raise
+        return _Link(sock, stream, peer, self._on_dialled_closed)
+
+    def _hello(self, nonce: str) -> Hello:
+        me = self._identity
+        proof = _proof(me.key, nonce, me.address)
+        return Hello(PROTOCOL_VERSION, me.vm, me.address, me.incarnation, me.failure_domain, proof)
+
+    def _on_dialled_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
+        if self._dialled_by_peer.get(link.peer) is link:
+            del self._dialled_by_peer[link.peer]
+        log("peer_lost", peer=link.peer, reason="closed")
+        self._report_unsent(unsent)
+        self._post(PeerLost(link.peer))
+
+    def _report_unsent(self, messages: list[PeerMessage]) -> None:
+        for message in messages:
+            if isinstance(message, Attempt):
+                self._post(AttemptUnsent(message.attempt_id))
+
+    # --- Accepting ---
+
+    def _accept(self, sock, remote) -> None:
+        if len(self._accepted_by_peer) >= MAX_INBOUND_LINKS:
+            sock.close()
+            return
+        set_no_delay(sock)
+        stream = sock.makefile("rb")
+        try:
+            hello = self._authenticate(sock, stream, remote[0])
+        except (OSError, PeerError, gevent.Timeout) as error:
+            log("peer_refused", peer=f"{remote[0]}:{remote[1]}", reason=str(error))
+            sock.close()
+            return
+        link = _Link(sock, stream, hello.address, self._on_accepted_closed)
+        self._accepted_by_peer[hello.address] = link
+        link.read(lambda message: self._post(PeerReceived(hello.address, message)))
+
+    def _authenticate(self, sock, stream, remote_host: str) -> Hello:
+        nonce = secrets.token_hex(16)
+        me = self._identity
+        challenge = Hello(PROTOCOL_VERSION, me.vm, me.address, nonce, me.failure_domain)
+        with gevent.Timeout(HELLO_TIMEOUT_S):
+            sock.sendall(encode_frame(challenge))
+            hello = read_message(stream, HELLO_MAX_BYTES)
+        if not isinstance(hello, Hello):
+            raise PeerError("no hello")
+        if host_of(hello.address) != remote_host:
+            raise PeerError(f"hello names {hello.address}, connection is from {remote_host}")
+        if not hmac.compare_digest(hello.proof, _proof(me.key, nonce, hello.address)):
+            raise PeerError("proof does not match the shared key")
+        if not self._is_member(hello.address):
+            raise PeerError(f"{hello.address} is not a known member")
+        return hello
+
+    def _on_accepted_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
+        if self._accepted_by_peer.get(link.peer) is link:
+            del self._accepted_by_peer[link.peer]
