Suspect an endpoint by the ages of all its open attempts together

Ruled out: a fixed lateness threshold (misses two attempts that are both somewhat late). Change: the chance of a stall from the product of survival shares of open attempts, with a prior that grows with silence; hedge only where the endpoint is doubtful; look again while it is not; calls that can't be hedged leave stragglers alone for longer.

--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -32,6 +32,9 @@
 MIN_SPARE_SHARE = 0.1
 """Share of the known capacity that must be free for a hedge."""
 
+WATCH_STEP = 0.2
+"""Time between two looks at a late attempt, in typical latencies."""
+
 SERVER_ERROR = 500
 """Lowest HTTP status that counts as a failure of the server."""
 
@@ -147,7 +150,7 @@
             attempt.attempt_id, call.call_id, choice.endpoint, now
         )
         service.router.sent(name, attempt.attempt_id, open_call.request_class.name, now)
-        self._set_hedge_timer(open_call, service, now)
+        self._set_hedge_timer(open_call, name, now)
         yield sent_record(attempt, choice.endpoint, f"{role}:{choice.why}")
         yield SendPeer(choice.endpoint.address, attempt)
 
@@ -301,11 +304,12 @@
 
     # --- Time ---
 
-    def _set_hedge_timer(self, open_call: OpenCall, service: Service, now: float) -> None:
+    def _set_hedge_timer(self, open_call: OpenCall, name: str, now: float) -> None:
         request_class = open_call.request_class
         if not (request_class.hedge and request_class.idempotent):
             return
-        due = now + service.router.late_after_s(request_class.name)
+        router = self._service_by_key[open_call.call.service].router
+        due = now + router.watch_after_s(name, request_class.name)
         if due < open_call.deadline and open_call.attempts < request_class.max_attempts:
             self._timers.set(("hedge", open_call.call.call_id), due)
 
@@ -320,9 +324,16 @@
 
     def _hedge(self, open_call: OpenCall, now: float) -> Iterator[Action]:
         service = self._service_by_key[open_call.call.service]
-        if len(open_call.open_attempt_ids) != 1:
+        if len(open_call.open_attempt_ids) != 1 or open_call.call.retry_budget < 1:
+            return
+        (attempt_id,) = open_call.open_attempt_ids
+        name = self._attempt_by_id[attempt_id].endpoint.name
+        class_name = open_call.request_class.name
+        if not service.router.is_doubtful(name, class_name, now):
+            pause_s = WATCH_STEP * service.router.typical_s(class_name)
+            self._timers.set(("hedge", open_call.call.call_id), now + pause_s)
             return
-        if open_call.call.retry_budget < 1 or service.router.spare_share(now) < MIN_SPARE_SHARE:
+        if service.router.spare_share(now) < MIN_SPARE_SHARE:
             return
         if service.hedge_budget.spend(now):
             yield from self._send_attempt(open_call, "hedge", now)
--- a/src/pollenroad/latencies.py
+++ b/src/pollenroad/latencies.py
@@ -1,6 +1,7 @@
 """Recent latencies of one request class, and the quantiles that retries and hedges go by."""
 
-from bisect import insort
+import math
+from bisect import bisect_left, insort
 from collections import deque
 
 WINDOW = 400
@@ -29,3 +30,16 @@
         if len(self._ordered) < MIN_SAMPLES:
             return None
         return self._ordered[int(share * (len(self._ordered) - 1))]
+
+    def surprise(self, age_s: float) -> float:
+        """Return how unlikely it is that a sound attempt is still open after `age_s` seconds.
+
+        Returns:
+            The negative logarithm of the share of latencies that were longer. Surprises of
+            independent attempts add up. 0 while too little is known.
+        """
+        count = len(self._ordered)
+        if count < MIN_SAMPLES:
+            return 0.0
+        longer = count - bisect_left(self._ordered, age_s)
+        return -math.log((longer + 1) / (count + 1))
--- a/src/pollenroad/loads.py
+++ b/src/pollenroad/loads.py
@@ -6,8 +6,10 @@
 """
 
 import math
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from pollenroad.latencies import Latencies
 from pollenroad.messages import LoadReport
 from pollenroad.models import Endpoint
 
@@ -45,6 +47,32 @@
 """States of a report in which the endpoint takes no new work."""
 
 
+STALL_PRIOR = 0.05
+"""Chance that a silent endpoint is stalled, before its open attempts are looked at."""
+
+MIN_STALL_PRIOR = 0.005
+"""Chance that an endpoint is stalled which answered this moment."""
+
+SILENCE_S = 0.1
+"""Seconds after an answer until an endpoint counts as silent."""
+
+
+MAX_SURPRISE = 50.0
+"""Surprise beyond which an endpoint is certainly stalled; keeps the odds finite."""
+
+
+@dataclass(frozen=True, slots=True)
+class OpenSample:
+    """An attempt whose latency is not known yet, with those of its request class."""
+
+    sent_at: float
+    latencies: Latencies
+
+    def surprise(self, now: float) -> float:
+        """Return how unlikely its age is for an endpoint that is not stalled."""
+        return self.latencies.surprise(now - self.sent_at)
+
+
 @dataclass(slots=True)
 class EndpointLoad:
     """Estimates of one endpoint's load, latency and health."""
@@ -53,35 +81,36 @@
     bound: int
     """Requests in flight that its guard admits, as last reported."""
     state: str = "serving"
-    overdue_at_by_attempt: dict[str, float] = field(default_factory=dict)
-    """Open attempts of this entry, with the time from which each is late."""
+    open_by_attempt: dict[str, OpenSample] = field(default_factory=dict)
+    """Open attempts of this entry, the oldest first."""
     latency_s: float = 0.0
     """Average latency in seconds; 0 while unknown."""
     _learned_at: float = 0.0
+    _answered_at: float = -math.inf
     _strikes: int = 0
     _failure: float = 0.0
     _others: float = 0.0
     _others_mean: float = 0.0
     _reported_at: float = -math.inf
     _sequence: int = 0
-    _stalled_at: float = math.inf
-    _stalled_until: float = -math.inf
+    _given_up: OpenSample | None = None
+    _given_up_until: float = -math.inf
     _out_until: float = -math.inf
 
     @property
     def own_in_flight(self) -> int:
         """Attempts of this entry that are open at the endpoint."""
-        return len(self.overdue_at_by_attempt)
+        return len(self.open_by_attempt)
 
     # --- What is learned ---
 
-    def sent(self, attempt_id: str, overdue_at: float) -> None:
-        """Count an attempt that is late from `overdue_at` on."""
-        self.overdue_at_by_attempt[attempt_id] = overdue_at
+    def sent(self, attempt_id: str, latencies: Latencies, now: float) -> None:
+        """Count an attempt of a request class with the given latencies."""
+        self.open_by_attempt[attempt_id] = OpenSample(now, latencies)
 
     def answered(self, attempt_id: str, latency_s: float, typical_s: float, now: float) -> None:
         """Count a whole answer after `latency_s`, where `typical_s` is usual for its class."""
-        self.overdue_at_by_attempt.pop(attempt_id, None)
+        self.open_by_attempt.pop(attempt_id, None)
         self._clear_stall()
         sample_s = min(latency_s, LATENCY_CLIP * typical_s) if typical_s else latency_s
         before_s = self.latency_s
@@ -89,25 +118,28 @@
         self._strike(bool(typical_s) and sample_s > 2 * typical_s, now)
         self._failure -= FAILURE_WEIGHT * self._failure
         self._learned_at = now
+        self._answered_at = now
 
     def failed(self, attempt_id: str, now: float) -> None:
         """Count a failure; however fast it came, it teaches nothing about latency."""
-        self.overdue_at_by_attempt.pop(attempt_id, None)
+        self.open_by_attempt.pop(attempt_id, None)
         self._failure += FAILURE_WEIGHT * (1.0 - self._failure)
         self._strike(True, now)
         self._learned_at = now
 
     def refused(self, attempt_id: str) -> None:
         """Count a refusal; the report that came with it tells the rest."""
-        self.overdue_at_by_attempt.pop(attempt_id, None)
+        self.open_by_attempt.pop(attempt_id, None)
 
     def cancelled(self, attempt_id: str, now: float) -> None:
-        """Count an attempt that this entry gave up; if it was late, the suspicion stays."""
-        overdue_at = self.overdue_at_by_attempt.pop(attempt_id, math.inf)
-        if overdue_at < now:
-            self._stalled_at = min(self._stalled_at, overdue_at)
-            stall_s = min(MAX_STALL_S, max(MIN_STALL_S, 2 * (now - self._stalled_at)))
-            self._stalled_until = now + stall_s
+        """Count an attempt that this entry gave up; the suspicion that it raised stays a while."""
+        sample = self.open_by_attempt.pop(attempt_id, None)
+        if sample is None:
+            return
+        if self._given_up is None or now > self._given_up_until:
+            self._given_up = sample
+        stall_s = 2 * (now - self._given_up.sent_at)
+        self._given_up_until = now + min(MAX_STALL_S, max(MIN_STALL_S, stall_s))
 
     def unreachable(self, now: float) -> None:
         """Count a broken link: no new work for a while, and a restarted guard counts anew."""
@@ -136,8 +168,7 @@
             self._strikes = min(MAX_STRIKES, self._strikes + 1)
 
     def _clear_stall(self) -> None:
-        self._stalled_at = math.inf
-        self._stalled_until = -math.inf
+        self._given_up = None
 
     # --- What is estimated ---
 
@@ -151,24 +182,40 @@
         trust = math.exp(-age_s / self.latency_s) if self.latency_s else 0.0
         return self.own_in_flight + self._others_mean + trust * (self._others - self._others_mean)
 
-    def overdue_s(self, now: float) -> float:
-        """Return for how long the endpoint has been late with an answer, in seconds."""
-        since = min(self.overdue_at_by_attempt.values(), default=math.inf)
-        if now < self._stalled_until:
-            since = min(since, self._stalled_at)
-        return max(0.0, now - since)
-
-    def _memory(self, now: float) -> float:
-        fade_s = RECOVERY_S * 2**self._strikes
+    def _samples(self, now: float) -> Iterator[OpenSample]:
+        yield from self.open_by_attempt.values()
+        if self._given_up is not None and now < self._given_up_until:
+            yield self._given_up
+
+    def stall_chance(self, now: float) -> float:
+        """Estimate the chance that the endpoint answers nothing at present, from 0 to 1."""
+        surprise = sum(sample.surprise(now) for sample in self._samples(now))
+        silence = min(1.0, (now - self._answered_at) / SILENCE_S)
+        prior = MIN_STALL_PRIOR + (STALL_PRIOR - MIN_STALL_PRIOR) * silence
+        odds = prior * math.exp(min(surprise, MAX_SURPRISE))
+        return odds / (1 + odds)
+
+    def oldest_s(self, now: float) -> float:
+        """Return the age of the oldest attempt that is open or was given up, in seconds."""
+        return max((now - sample.sent_at for sample in self._samples(now)), default=0.0)
+
+    def _memory(self, now: float, patience: float = 1.0) -> float:
+        fade_s = RECOVERY_S * 2**self._strikes * patience
         return math.exp(-(now - self._learned_at) / fade_s)
 
-    def expected_s(self, typical_s: float, now: float) -> float:
-        """Estimate the latency without waiting, in seconds; a bad average fades with time."""
+    def expected_s(self, typical_s: float, now: float, patience: float = 1.0) -> float:
+        """Estimate the latency without waiting, in seconds; a bad average fades with time.
+
+        Args:
+            typical_s: Usual latency of the service's endpoints.
+            now: Monotonic time in seconds.
+            patience: Multiple of the usual time in which a bad average fades.
+        """
         if not self.latency_s:
             return typical_s
         if self.latency_s <= typical_s:
             return self.latency_s
-        return typical_s + (self.latency_s - typical_s) * self._memory(now)
+        return typical_s + (self.latency_s - typical_s) * self._memory(now, patience)
 
     def failure_share(self, now: float) -> float:
         """Estimate the share of attempts that fail, from 0 to 1; it fades with time."""
--- a/src/pollenroad/retries.py
+++ b/src/pollenroad/retries.py
@@ -13,11 +13,11 @@
 BURST_S = 5.0
 """Seconds of `min_per_s` that an idle budget gathers."""
 
-MIN_BURST = 3.0
-"""Tokens that a full budget holds at the least."""
+RETRY_BURST = 100.0
+"""First attempts whose shares a full retry budget holds."""
 
-RATIO_BURST = 100.0
-"""First attempts whose shares a full budget holds."""
+HEDGE_BURST = 300.0
+"""First attempts whose shares a full hedge budget holds: one stall makes many attempts late."""
 
 TEACHING_REASONS = frozenset({"leaving", "out-of-service", "not-here", "unreachable"})
 """Refusals after which the entry shuns the endpoint: they are rare, and retried free of charge."""
@@ -31,20 +31,18 @@
     """Tokens gained by each first attempt."""
     per_s: float
     """Tokens gained each second."""
+    capacity: float
+    """Most tokens that the bucket holds."""
     tokens: float
     updated_at: float
 
-    @property
-    def _capacity(self) -> float:
-        return max(MIN_BURST, self.per_s * BURST_S, self.ratio * RATIO_BURST)
-
     def _refill(self, now: float) -> None:
         elapsed_s = max(0.0, now - self.updated_at)
         self.updated_at = now
         self._gain(elapsed_s * self.per_s)
 
     def _gain(self, tokens: float) -> None:
-        self.tokens = min(self._capacity, self.tokens + tokens)
+        self.tokens = min(self.capacity, self.tokens + tokens)
 
     def first_attempt(self) -> None:
         """Pay in the share of one first attempt."""
@@ -61,13 +59,15 @@
 
 def make_retry_budget(rules: RetryRules, now: float) -> Budget:
     """Make the retry budget of one service at one entry."""
-    return Budget(rules.budget_ratio, rules.min_per_s, rules.min_per_s, now)
+    capacity = max(rules.min_per_s * BURST_S, rules.budget_ratio * RETRY_BURST)
+    return Budget(rules.budget_ratio, rules.min_per_s, capacity, rules.min_per_s, now)
 
 
 def make_hedge_budget(rules: RetryRules, now: float) -> Budget:
     """Make the hedge budget of one service at one entry; a ratio of 0 forbids hedges."""
+    capacity = rules.hedge_ratio * HEDGE_BURST
     per_s = rules.min_per_s * rules.hedge_ratio
-    return Budget(rules.hedge_ratio, per_s, min(1.0, rules.hedge_ratio * RATIO_BURST), now)
+    return Budget(rules.hedge_ratio, per_s, capacity, min(1.0, capacity), now)
 
 
 def allowance_below(allowance: float, number: int) -> float:
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -15,14 +15,14 @@
 FIRST_GUESS_S = 0.02
 """Latency in seconds that is assumed while nothing is known."""
 
-OVERDUE_QUANTILE = 0.95
-"""Quantile of a class's latency after which an attempt may be late."""
+WATCH_QUANTILE = 0.8
+"""Quantile of a class's latency after which an open attempt is watched for a stall."""
 
-OVERDUE_FACTOR = 1.5
-"""Multiple of the median below which no attempt is late, however narrow the latencies are."""
+TRIAL_WATCH = 0.5
+"""Age from which an attempt at a straggler is watched, in typical latencies."""
 
-FIRST_OVERDUE_S = 1.0
-"""Age in seconds from which an attempt is late while its class's latency is unknown."""
+FIRST_WATCH_S = 1.0
+"""Age in seconds from which an attempt is watched while its class's latency is unknown."""
 
 LOAD_COST = 0.5
 """Latencies that a fully used endpoint costs more than an idle one."""
@@ -30,8 +30,11 @@
 REMOTE_COST_S = 0.002
 """Cost in seconds of another failure domain: the price of the way there and back."""
 
-STALL_COST = 3.0
-"""Cost of an endpoint that is late, in multiples of the time since it should have answered."""
+STALL_LATENCIES = 4.0
+"""Least cost of an endpoint that is surely stalled, in typical latencies."""
+
+STALL_AGES = 2.0
+"""Cost of an endpoint that is surely stalled, in multiples of the age of its oldest attempt."""
 
 FAILURE_COST_S = 2.0
 """Cost in seconds of an endpoint at which every attempt fails."""
@@ -39,6 +42,15 @@
 OUT_COST_S = 1000.0
 """Cost in seconds of an endpoint that takes no new work: only used if all are out."""
 
+DOUBT_CHANCE = 0.5
+"""Chance of a stall from which an attempt is worth a hedge."""
+
+SLOW_FACTOR = 2.0
+"""Multiple of the typical latency from which an endpoint is a straggler."""
+
+UNHEDGED_PATIENCE = 8.0
+"""How much longer a straggler is left alone by calls that cannot be hedged."""
+
 CLOSE_S = 0.001
 """Endpoints whose cost is within so many seconds of the least are equally good."""
 
@@ -114,6 +126,7 @@
 
     def configure(self, document: ServiceDocument) -> None:
         """Take a newer document; what is known of endpoints that remain is kept."""
+        self._hedged_names = {c.name for c in document.classes if c.hedge and c.idempotent}
         out = document.out_of_service
         in_service = [
             endpoint
@@ -132,6 +145,9 @@
             return make_endpoint_load(endpoint, slots)
         return load
 
+    def _latencies(self, class_name: str) -> Latencies:
+        return self._latencies_by_class.setdefault(class_name, Latencies())
+
     # --- What is learned ---
 
     def learn(self, report: LoadReport, now: float) -> None:
@@ -142,8 +158,7 @@
 
     def sent(self, name: str, attempt_id: str, class_name: str, now: float) -> None:
         """Count an attempt handed to the endpoint `name`."""
-        load = self._load_by_name[name]
-        load.sent(attempt_id, now + self.late_after_s(class_name))
+        self._load_by_name[name].sent(attempt_id, self._latencies(class_name), now)
 
     def ended(self, name: str, attempt_id: str, verdict: Verdict, now: float) -> None:
         """Count an attempt that ended without a whole answer."""
@@ -166,7 +181,7 @@
         if not ok:
             load.failed(attempt_id, now)
             return
-        latencies = self._latencies_by_class.setdefault(class_name, Latencies())
+        latencies = self._latencies(class_name)
         load.answered(attempt_id, latency_s, latencies.quantile(0.5) or 0.0, now)
         latencies.add(latency_s)
 
@@ -184,13 +199,29 @@
 
     # --- What is estimated ---
 
-    def late_after_s(self, class_name: str) -> float:
-        """Return the age in seconds from which an attempt of a request class is late."""
-        latencies = self._latencies_by_class.get(class_name)
-        quantile_s = latencies.quantile(OVERDUE_QUANTILE) if latencies else None
-        if quantile_s is None:
-            return FIRST_OVERDUE_S
-        return max(quantile_s, OVERDUE_FACTOR * latencies.quantile(0.5))
+    def watch_after_s(self, name: str, class_name: str) -> float:
+        """Return the age in seconds from which an open attempt at an endpoint is watched."""
+        load = self._load_by_name[name]
+        latencies = self._latencies(class_name)
+        typical_s = latencies.quantile(0.5)
+        if typical_s is None:
+            return FIRST_WATCH_S
+        if load.latency_s > SLOW_FACTOR * typical_s:
+            return TRIAL_WATCH * typical_s
+        return latencies.quantile(WATCH_QUANTILE)
+
+    def typical_s(self, class_name: str) -> float:
+        """Return the median latency of a request class, in seconds."""
+        return self._latencies(class_name).quantile(0.5) or FIRST_GUESS_S
+
+    def is_doubtful(self, name: str, class_name: str, now: float) -> bool:
+        """Tell whether an open attempt at the endpoint `name` is worth a hedge."""
+        load = self._load_by_name.get(name)
+        if load is None:
+            return True
+        typical_s = self.typical_s(class_name)
+        is_slow = load.latency_s > SLOW_FACTOR * typical_s
+        return is_slow or load.stall_chance(now) >= DOUBT_CHANCE
 
     def spare_share(self, now: float) -> float:
         """Estimate the share of all known bounds that is free, from 0 to 1."""
@@ -200,13 +231,14 @@
         used = sum(load.in_flight(now) for load in self._usable if not load.is_out(now))
         return max(0.0, 1.0 - used / bound)
 
-    def _cost_s(self, load: EndpointLoad, typical_s: float, now: float) -> float:
-        expected_s = load.expected_s(typical_s, now)
+    def _cost_s(self, load: EndpointLoad, typical_s: float, patience: float, now: float) -> float:
+        expected_s = load.expected_s(typical_s, now, patience)
         in_flight = load.in_flight(now)
         bound = max(1, load.bound)
         waiting = max(0.0, in_flight + 1 - bound)
         cost_s = expected_s * (1 + LOAD_COST * in_flight / bound + waiting / bound)
-        cost_s += STALL_COST * load.overdue_s(now)
+        stall_s = max(STALL_LATENCIES * typical_s, STALL_AGES * load.oldest_s(now))
+        cost_s += stall_s * load.stall_chance(now)
         cost_s += FAILURE_COST_S * load.failure_share(now)
         if load.endpoint.failure_domain != self._place.failure_domain:
             cost_s += REMOTE_COST_S
@@ -242,9 +274,9 @@
     def _least_time(
         self, candidates: Sequence[EndpointLoad], class_name: str, now: float
     ) -> Choice:
-        latencies = self._latencies_by_class.get(class_name)
-        typical_s = (latencies.quantile(0.5) if latencies else None) or FIRST_GUESS_S
-        costs = [(self._cost_s(load, typical_s, now), load) for load in candidates]
+        typical_s = self.typical_s(class_name)
+        patience = 1.0 if class_name in self._hedged_names else UNHEDGED_PATIENCE
+        costs = [(self._cost_s(load, typical_s, patience, now), load) for load in candidates]
         least_s = min(cost_s for cost_s, _ in costs)
         close = [(cost_s, load) for cost_s, load in costs if cost_s <= least_s + CLOSE_S]
         pair = self._rng.sample(close, min(2, len(close)))
