Name the routing policy in the service document

Ruled out: a daemon setting, which needs restarts and lets entries of one service differ. Change: ServiceDocument.routing; the router takes its policy from the document; the daemon passes its VM's name, which gives its place among the subsets.

--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -57,7 +57,7 @@
         self._timer_wake = Flag()
         self._timer_due = float("inf")
         rng = random.Random(self.incarnation)
-        self.entry = make_entry(self.incarnation, settings.failure_domain, rng)
+        self.entry = make_entry(self.incarnation, settings.failure_domain, rng, settings.vm)
         self.guard = make_guard(settings.service, settings.vm)
         self.calls = Calls(self.post)
         self.upstream = Upstream(settings.server, self.post)
--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -23,7 +23,7 @@
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport
 from pollenroad.models import ServiceDocument, WorkspaceDocument
 from pollenroad.retries import TEACHING_REASONS, allowance_below
-from pollenroad.routing import LeastTime, Policy, RouterPlace, make_router
+from pollenroad.routing import RouterPlace, make_router
 from pollenroad.services import Service
 from pollenroad.subsets import place_of
 from pollenroad.timers import Timers
@@ -344,7 +344,6 @@
     failure_domain: str,
     rng: random.Random,
     vm: str = "",
-    policy: Policy | None = None,
 ) -> Entry:
     """Make an entry.
 
@@ -353,7 +352,6 @@
         failure_domain: Failure domain of this daemon.
         rng: Source of randomness.
         vm: Name of the VM, by which its subset of a large service is chosen.
-        policy: How endpoints are chosen; the default is the product's own.
     """
-    place = RouterPlace(failure_domain, place_of(vm or incarnation), policy or LeastTime())
+    place = RouterPlace(failure_domain, place_of(vm or incarnation))
     return Entry(incarnation, place, rng)
--- a/src/pollenroad/models.py
+++ b/src/pollenroad/models.py
@@ -5,7 +5,7 @@
 workspace document and `WORKSPACE/SERVICE` for a service document.
 """
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta
@@ -19,6 +19,9 @@
 Seconds = Annotated[float, Meta(ge=0, le=3600)]
 Milliseconds = Annotated[float, Meta(gt=0, le=600_000)]
 
+Routing = Literal["least-time", "random", "round-robin", "least-in-flight", "two-choices"]
+"""Names of the policies in `pollenroad.routing`."""
+
 
 class Declared(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Base of everything that operators declare."""
@@ -116,6 +119,8 @@
     out_of_service: OutOfService = OutOfService()
     drain_s: Seconds = 30.0
     """Longest time that a stopping daemon waits for requests in flight."""
+    routing: Routing = "least-time"
+    """How entries choose an endpoint; all but `least-time` are there to compare with."""
     subset_size: Positive = 20
     """Endpoints that one entry spreads its calls over."""
     max_body_bytes: Annotated[int, Meta(ge=0, le=8_388_608)] = 1_048_576
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -8,7 +8,7 @@
 from pollenroad.latencies import Latencies
 from pollenroad.loads import EndpointLoad, make_endpoint_load
 from pollenroad.messages import LoadReport
-from pollenroad.models import Endpoint, ServiceDocument
+from pollenroad.models import Endpoint, Routing, ServiceDocument
 from pollenroad.subsets import subset_of
 from pollenroad.verdicts import Verdict
 
@@ -83,7 +83,7 @@
 Policy = Random | RoundRobin | LeastInFlight | TwoChoices | LeastTime
 """How a router chooses; all but `LeastTime` are there to compare with."""
 
-POLICY_BY_NAME: dict[str, Policy] = {
+POLICY_BY_NAME: dict[Routing, Policy] = {
     "random": Random(),
     "round-robin": RoundRobin(),
     "least-in-flight": LeastInFlight(),
@@ -103,12 +103,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RouterPlace:
-    """Where an entry stands, and how it chooses."""
+    """Where an entry stands."""
 
     failure_domain: str
     ring_place: float = 0.0
     """Place on the ring of subsets, from 0 up to 1."""
-    policy: Policy = LeastTime()
 
 
 class Router:
@@ -126,6 +125,7 @@
 
     def configure(self, document: ServiceDocument) -> None:
         """Take a newer document; what is known of endpoints that remain is kept."""
+        self._policy = POLICY_BY_NAME[document.routing]
         self._hedged_names = {c.name for c in document.classes if c.hedge and c.idempotent}
         out = document.out_of_service
         in_service = [
@@ -253,7 +253,7 @@
         candidates = [u for u in self._usable if u.endpoint.name not in tried] or self._usable
         if not candidates:
             return None
-        match self._place.policy:
+        match self._policy:
             case LeastTime():
                 return self._least_time(candidates, class_name, now)
             case policy:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from pollenroad.models import OutOfService
-from pollenroad.routing import POLICY_BY_NAME, LeastTime, RouterPlace, make_router
+from pollenroad.routing import POLICY_BY_NAME, RouterPlace, make_router
 from pollenroad.verdicts import Verdict
 from tests.entry_samples import make_document, make_report
 
@@ -13,9 +13,8 @@
 
 
 class RouterTest(unittest.TestCase):
-    def make(self, policy=None, **more):
-        place = RouterPlace("ub-0", 0.0, policy or LeastTime())
-        return make_router(make_document(**more), place, random.Random(1))
+    def make(self, **more):
+        return make_router(make_document(**more), RouterPlace("ub-0"), random.Random(1))
 
     def run_calls(self, router, calls: int, latency_by_name=None, start: float = 0.0) -> Counter:
         """Run calls one after the other; count the choices."""
@@ -35,9 +34,9 @@
 
     def test_every_policy_uses_every_endpoint_that_is_in_service(self):
         out = OutOfService(failure_domains=("ub-1",))
-        for name, policy in POLICY_BY_NAME.items():
+        for name in POLICY_BY_NAME:
             with self.subTest(policy=name):
-                router = self.make(policy, out_of_service=out)
+                router = self.make(routing=name, out_of_service=out)
                 used = set()
                 for number in range(200):
                     choice = router.choose(set(), CLASS, 0.0)
