--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -29,9 +29,15 @@
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict, may_retry
 
-MIN_SPARE_SHARE = 0.1
+MIN_SPARE_SHARE = 0.25
 """Share of the known capacity that must be free for a hedge."""
 
+MIN_DOUBT = 0.15
+"""Chance of a stall from which an attempt is hedged while the hedge budget is full."""
+
+MAX_DOUBT = 0.7
+"""Chance of a stall from which an attempt is hedged while the hedge budget is nearly spent."""
+
 WATCH_STEP = 0.2
 """Time between two looks at a late attempt, in typical latencies."""
 
@@ -282,7 +288,7 @@
         router = self._service_by_key[open_call.call.service].router
         for attempt_id in sorted(open_call.open_attempt_ids):
             attempt = self._attempt_by_id.pop(attempt_id)
-            router.cancelled(attempt.endpoint.name, attempt_id, now)
+            router.cancelled(attempt.endpoint.name, attempt_id, open_call.request_class.name, now)
             yield SendPeer(attempt.endpoint.address, CancelAttempt(attempt_id))
 
     def _abandon(self, call_id: str, now: float) -> Iterator[Action]:
@@ -329,7 +335,9 @@
         (attempt_id,) = open_call.open_attempt_ids
         name = self._attempt_by_id[attempt_id].endpoint.name
         class_name = open_call.request_class.name
-        if not service.router.is_doubtful(name, class_name, now):
+        fullness = service.hedge_budget.fullness(now)
+        least_doubt = MAX_DOUBT - (MAX_DOUBT - MIN_DOUBT) * fullness
+        if service.router.doubt(name, class_name, now) < least_doubt:
             pause_s = WATCH_STEP * service.router.typical_s(class_name)
             self._timers.set(("hedge", open_call.call.call_id), now + pause_s)
             return
--- a/src/pollenroad/loads.py
+++ b/src/pollenroad/loads.py
@@ -19,6 +19,15 @@
 LATENCY_CLIP = 6.0
 """A latency counts as at most this multiple of the typical one, so that one pause is forgotten."""
 
+SLOW_FACTOR = 2.0
+"""Multiple of the typical latency from which an endpoint is a straggler."""
+
+NOISE_FACTOR = 1.3
+"""Multiple of the typical latency up to which an endpoint's average is like all others."""
+
+CENSORED_FACTOR = 2.0
+"""Latency assumed of an attempt that was given up, as a multiple of its age."""
+
 OTHERS_WEIGHT = 0.1
 """Weight of the newest report in the average of what other entries have in flight."""
 
@@ -47,13 +56,13 @@
 """States of a report in which the endpoint takes no new work."""
 
 
-STALL_PRIOR = 0.05
+STALL_PRIOR = 0.2
 """Chance that a silent endpoint is stalled, before its open attempts are looked at."""
 
 MIN_STALL_PRIOR = 0.005
 """Chance that an endpoint is stalled which answered this moment."""
 
-SILENCE_S = 0.1
+SILENCE_S = 0.2
 """Seconds after an answer until an endpoint counts as silent."""
 
 
@@ -68,9 +77,15 @@
     sent_at: float
     latencies: Latencies
 
-    def surprise(self, now: float) -> float:
-        """Return how unlikely its age is for an endpoint that is not stalled."""
-        return self.latencies.surprise(now - self.sent_at)
+    def surprise(self, answered_at: float, now: float) -> float:
+        """Return how unlikely it is that a sound endpoint left the attempt open until now.
+
+        Args:
+            answered_at: When the endpoint last answered anything, so that it was not stalled.
+            now: Monotonic time in seconds.
+        """
+        before = self.latencies.surprise(answered_at - self.sent_at)
+        return self.latencies.surprise(now - self.sent_at) - before
 
 
 @dataclass(slots=True)
@@ -111,14 +126,17 @@
     def answered(self, attempt_id: str, latency_s: float, typical_s: float, now: float) -> None:
         """Count a whole answer after `latency_s`, where `typical_s` is usual for its class."""
         self.open_by_attempt.pop(attempt_id, None)
-        self._clear_stall()
+        self._given_up = None
+        self._failure -= FAILURE_WEIGHT * self._failure
+        self._answered_at = now
+        self._learn_latency(latency_s, typical_s, now)
+
+    def _learn_latency(self, latency_s: float, typical_s: float, now: float) -> None:
         sample_s = min(latency_s, LATENCY_CLIP * typical_s) if typical_s else latency_s
         before_s = self.latency_s
         self.latency_s += LATENCY_WEIGHT * (sample_s - before_s) if before_s else sample_s
-        self._strike(bool(typical_s) and sample_s > 2 * typical_s, now)
-        self._failure -= FAILURE_WEIGHT * self._failure
+        self._strike(bool(typical_s) and sample_s > SLOW_FACTOR * typical_s, now)
         self._learned_at = now
-        self._answered_at = now
 
     def failed(self, attempt_id: str, now: float) -> None:
         """Count a failure; however fast it came, it teaches nothing about latency."""
@@ -131,11 +149,17 @@
         """Count a refusal; the report that came with it tells the rest."""
         self.open_by_attempt.pop(attempt_id, None)
 
-    def cancelled(self, attempt_id: str, now: float) -> None:
-        """Count an attempt that this entry gave up; the suspicion that it raised stays a while."""
+    def cancelled(self, attempt_id: str, typical_s: float, now: float) -> None:
+        """Count an attempt that this entry gave up; the suspicion that it raised stays a while.
+
+        Its age is a lower bound of its latency: what a hedge overtook counts as slow.
+        """
         sample = self.open_by_attempt.pop(attempt_id, None)
         if sample is None:
             return
+        age_s = now - sample.sent_at
+        if typical_s and age_s > SLOW_FACTOR * typical_s:
+            self._learn_latency(CENSORED_FACTOR * age_s, typical_s, now)
         if self._given_up is None or now > self._given_up_until:
             self._given_up = sample
         stall_s = 2 * (now - self._given_up.sent_at)
@@ -167,9 +191,6 @@
         elif now - self._learned_at > RECOVERY_S / 2:
             self._strikes = min(MAX_STRIKES, self._strikes + 1)
 
-    def _clear_stall(self) -> None:
-        self._given_up = None
-
     # --- What is estimated ---
 
     def is_out(self, now: float) -> bool:
@@ -189,7 +210,7 @@
 
     def stall_chance(self, now: float) -> float:
         """Estimate the chance that the endpoint answers nothing at present, from 0 to 1."""
-        surprise = sum(sample.surprise(now) for sample in self._samples(now))
+        surprise = sum(s.surprise(self._answered_at, now) for s in self._samples(now))
         silence = min(1.0, (now - self._answered_at) / SILENCE_S)
         prior = MIN_STALL_PRIOR + (STALL_PRIOR - MIN_STALL_PRIOR) * silence
         odds = prior * math.exp(min(surprise, MAX_SURPRISE))
@@ -211,11 +232,8 @@
             now: Monotonic time in seconds.
             patience: Multiple of the usual time in which a bad average fades.
         """
-        if not self.latency_s:
-            return typical_s
-        if self.latency_s <= typical_s:
-            return self.latency_s
-        return typical_s + (self.latency_s - typical_s) * self._memory(now, patience)
+        excess_s = max(0.0, self.latency_s - NOISE_FACTOR * typical_s)
+        return typical_s + excess_s * self._memory(now, patience)
 
     def failure_share(self, now: float) -> float:
         """Estimate the share of attempts that fail, from 0 to 1; it fades with time."""
--- a/src/pollenroad/retries.py
+++ b/src/pollenroad/retries.py
@@ -48,6 +48,11 @@
         """Pay in the share of one first attempt."""
         self._gain(self.ratio)
 
+    def fullness(self, now: float) -> float:
+        """Return the share of the bucket that is full, from 0 to 1."""
+        self._refill(now)
+        return self.tokens / self.capacity if self.capacity else 0.0
+
     def spend(self, now: float) -> bool:
         """Take one token; tell whether there was one."""
         self._refill(now)
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from pollenroad.latencies import Latencies
-from pollenroad.loads import EndpointLoad, make_endpoint_load
+from pollenroad.loads import SLOW_FACTOR, EndpointLoad, make_endpoint_load
 from pollenroad.messages import LoadReport
 from pollenroad.models import Endpoint, Routing, ServiceDocument
 from pollenroad.subsets import subset_of
@@ -15,7 +15,7 @@
 FIRST_GUESS_S = 0.02
 """Latency in seconds that is assumed while nothing is known."""
 
-WATCH_QUANTILE = 0.8
+WATCH_QUANTILE = 0.5
 """Quantile of a class's latency after which an open attempt is watched for a stall."""
 
 TRIAL_WATCH = 0.5
@@ -24,8 +24,8 @@
 FIRST_WATCH_S = 1.0
 """Age in seconds from which an attempt is watched while its class's latency is unknown."""
 
-LOAD_COST = 0.5
-"""Latencies that a fully used endpoint costs more than an idle one."""
+LOAD_COST = 1.0
+"""Latencies that a fully used endpoint costs more than an idle one; grows with the square."""
 
 REMOTE_COST_S = 0.002
 """Cost in seconds of another failure domain: the price of the way there and back."""
@@ -42,12 +42,6 @@
 OUT_COST_S = 1000.0
 """Cost in seconds of an endpoint that takes no new work: only used if all are out."""
 
-DOUBT_CHANCE = 0.5
-"""Chance of a stall from which an attempt is worth a hedge."""
-
-SLOW_FACTOR = 2.0
-"""Multiple of the typical latency from which an endpoint is a straggler."""
-
 UNHEDGED_PATIENCE = 8.0
 """How much longer a straggler is left alone by calls that cannot be hedged."""
 
@@ -185,11 +179,12 @@
         load.answered(attempt_id, latency_s, latencies.quantile(0.5) or 0.0, now)
         latencies.add(latency_s)
 
-    def cancelled(self, name: str, attempt_id: str, now: float) -> None:
+    def cancelled(self, name: str, attempt_id: str, class_name: str, now: float) -> None:
         """Count an attempt that this entry gave up."""
         load = self._load_by_name.get(name)
         if load is not None:
-            load.cancelled(attempt_id, now)
+            typical_s = self._latencies(class_name).quantile(0.5) or 0.0
+            load.cancelled(attempt_id, typical_s, now)
 
     def unreachable(self, address: str, now: float) -> None:
         """Count a broken link to the daemon at `address`."""
@@ -214,14 +209,12 @@
         """Return the median latency of a request class, in seconds."""
         return self._latencies(class_name).quantile(0.5) or FIRST_GUESS_S
 
-    def is_doubtful(self, name: str, class_name: str, now: float) -> bool:
-        """Tell whether an open attempt at the endpoint `name` is worth a hedge."""
+    def doubt(self, name: str, class_name: str, now: float) -> float:
+        """Return how much an open attempt at the endpoint `name` needs a hedge, from 0 to 1."""
         load = self._load_by_name.get(name)
-        if load is None:
-            return True
-        typical_s = self.typical_s(class_name)
-        is_slow = load.latency_s > SLOW_FACTOR * typical_s
-        return is_slow or load.stall_chance(now) >= DOUBT_CHANCE
+        if load is None or load.latency_s > SLOW_FACTOR * self.typical_s(class_name):
+            return 1.0
+        return load.stall_chance(now)
 
     def spare_share(self, now: float) -> float:
         """Estimate the share of all known bounds that is free, from 0 to 1."""
@@ -236,7 +229,7 @@
         in_flight = load.in_flight(now)
         bound = max(1, load.bound)
         waiting = max(0.0, in_flight + 1 - bound)
-        cost_s = expected_s * (1 + LOAD_COST * in_flight / bound + waiting / bound)
+        cost_s = expected_s * (1 + LOAD_COST * (in_flight / bound) ** 2 + waiting / bound)
         stall_s = max(STALL_LATENCIES * typical_s, STALL_AGES * load.oldest_s(now))
         cost_s += stall_s * load.stall_chance(now)
         cost_s += FAILURE_COST_S * load.failure_share(now)
