Send hedges and retries to no endpoint on trial

Ruled out: leaving stragglers alone for all calls (they would never be used again). Change: only first attempts of hedged classes try a straggler again early.

--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -43,7 +43,7 @@
 """Cost in seconds of an endpoint that takes no new work: only used if all are out."""
 
 UNHEDGED_PATIENCE = 8.0
-"""How much longer a straggler is left alone by calls that cannot be hedged."""
+"""How much longer a straggler is left alone by hedges, retries and calls without hedges."""
 
 CLOSE_S = 0.001
 """Endpoints whose cost is within so many seconds of the least are equally good."""
@@ -248,7 +248,7 @@
             return None
         match self._policy:
             case LeastTime():
-                return self._least_time(candidates, class_name, now)
+                return self._least_time(candidates, tried, class_name, now)
             case policy:
                 return Choice(self._compared(policy, candidates).endpoint, "policy")
 
@@ -265,10 +265,11 @@
         return min(group, key=lambda load: load.own_in_flight)
 
     def _least_time(
-        self, candidates: Sequence[EndpointLoad], class_name: str, now: float
+        self, candidates: Sequence[EndpointLoad], tried: set[str], class_name: str, now: float
     ) -> Choice:
         typical_s = self.typical_s(class_name)
-        patience = 1.0 if class_name in self._hedged_names else UNHEDGED_PATIENCE
+        may_try = class_name in self._hedged_names and not tried
+        patience = 1.0 if may_try else UNHEDGED_PATIENCE
         costs = [(self._cost_s(load, typical_s, patience, now), load) for load in candidates]
         least_s = min(cost_s for cost_s, _ in costs)
         close = [(cost_s, load) for cost_s, load in costs if cost_s <= least_s + CLOSE_S]
