--- /dev/null
+++ b/src/pollenroad/explain.py
@@ -0,0 +1,284 @@
+"""Every change of configuration as one plain sentence, for `diff` and the audit trail."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from itertools import chain
+
+from msgspec.structs import replace as _replace
+
+from pollenroad.explain_customers import customer_sentences
+from pollenroad.explain_servers import endpoint_sentences, out_of_service_sentences
+from pollenroad.models import Document, RequestClass, ServiceDocument, WorkspaceDocument
+from pollenroad.wording import (
+    connections,
+    count,
+    join,
+    messages,
+    milliseconds,
+    number,
+    percent,
+    requests,
+    second_tries,
+    seconds,
+    sentence,
+    servers,
+    size,
+    times,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Phrase:
+    """How a changed value is told."""
+
+    text: str
+    """Sentence with `{of}`, `{new}` and `{old}`."""
+    wording: Callable[[float], str]
+    """Puts a value into words."""
+    zero: str = ""
+    """Sentence for the new value 0, if that means something of its own."""
+
+    def tell(self, of: str, old, new) -> str:
+        text = self.zero if self.zero and not new else self.text
+        return sentence(text.format(of=of, old=self.wording(old), new=self.wording(new)))
+
+
+_SERVICE_PHRASE_BY_FIELD = {
+    "slots": _Phrase(
+        "each server of the {of} now works on at most {new} at once, instead of {old}.", requests
+    ),
+    "connections": _Phrase(
+        "each server of the {of} now holds at most {new}, instead of {old}.", connections
+    ),
+    "default_class": _Phrase(
+        "a request to the {of} that does not state its kind is now treated as {new}, "
+        "instead of {old}.",
+        str,
+    ),
+    "drain_s": _Phrase(
+        "a server of the {of} that is to stop now has {new} to finish the requests that it has, "
+        "instead of {old}.",
+        seconds,
+        "a server of the {of} that is to stop now stops at once, instead of after at most {old}.",
+    ),
+    "subset_size": _Phrase(
+        "each VM that passes requests on to the {of} now spreads them over at most {new}, "
+        "instead of {old}.",
+        servers,
+    ),
+    "max_body_bytes": _Phrase(
+        "the {of} now takes requests with a content of at most {new}, instead of {old}.", size
+    ),
+    "peak_in_flight": _Phrase(
+        "the {of} is now expected to work on {new} at once when it is busiest, instead of {old}.",
+        requests,
+        "it is no longer stated how many requests the {of} works on when it is busiest, "
+        "which was {old}.",
+    ),
+}
+
+_COLD_START_PHRASE_BY_FIELD = {
+    "bound": _Phrase(
+        "a server of the {of} that has just started now gets at most {new} at once, "
+        "instead of {old}.",
+        requests,
+    ),
+    "ramp_s": _Phrase(
+        "a server of the {of} that has just started now gets its full share after {new}, "
+        "instead of {old}.",
+        seconds,
+        "a server of the {of} that has just started now gets its full share at once, "
+        "instead of after {old}.",
+    ),
+    "idle_s": _Phrase(
+        "a server of the {of} is now treated as just started after {new} without a request, "
+        "instead of {old} (0 seconds means never).",
+        seconds,
+        "a server of the {of} is no longer treated as just started after a time without requests, "
+        "which was {old}.",
+    ),
+}
+
+_MEASURING_PHRASE_BY_FIELD = {
+    "messages_per_s": _Phrase(
+        "finding out how busy the servers of the {of} are may now cost {new} a second in all, "
+        "instead of {old}.",
+        messages,
+    ),
+    "server_ms_per_s": _Phrase(
+        "test requests that find out how busy the servers of the {of} are may now take {new} of "
+        "their time in each second, instead of {old}.",
+        milliseconds,
+        "no test requests are sent any more to find out how busy the servers of the {of} are; "
+        "they were allowed {old} in each second.",
+    ),
+    "probe_cost_ms": _Phrase(
+        "one test request that finds out how busy a server of the {of} is now counts as {new} of "
+        "its time, instead of {old}.",
+        milliseconds,
+        "the servers of the {of} no longer offer test requests that find out how busy they are; "
+        "one counted as {old} of their time.",
+    ),
+}
+
+_RETRIES_PHRASE_BY_FIELD = {
+    "budget_ratio": _Phrase(
+        "for every 100 requests to the {of}, {new} are now allowed after a failure, "
+        "instead of {old}.",
+        lambda share: second_tries(float(f"{share * 100:.12g}")),
+    ),
+    "hedge_ratio": _Phrase(
+        "for every 100 requests to the {of}, {new} are now allowed because an answer is late, "
+        "instead of {old}.",
+        lambda share: second_tries(float(f"{share * 100:.12g}")),
+    ),
+    "min_per_s": _Phrase(
+        "each VM that passes requests on to the {of} may now always make {new} a second, "
+        "instead of {old}.",
+        second_tries,
+    ),
+}
+
+_CLASS_PHRASE_BY_FIELD = {
+    "worth": _Phrase(
+        "one answered {of} is now worth {new} when there is too much to do, instead of {old}.",
+        number,
+    ),
+    "idempotent": _Phrase(
+        "it now does no harm to run {of} twice, so it may be tried again when no answer came.",
+        str,
+        "running {of} twice now does harm, so it is tried again only if it surely did not run.",
+    ),
+    "deadline_ms": _Phrase(
+        "the answer to {of} must now come within {new}, instead of {old}.", milliseconds
+    ),
+    "max_attempts": _Phrase("{of} is now tried at most {new}, instead of {old}.", times),
+    "hedge": _Phrase(
+        "when the answer to {of} is late, a second server may now be asked as well.",
+        str,
+        "when the answer to {of} is late, no second server is asked any more.",
+    ),
+    "guaranteed_share": _Phrase(
+        "when there is too much to do, {new} of each server is now kept for {of}, "
+        "instead of {old}.",
+        percent,
+        "when there is too much to do, nothing is kept any more for {of}, which had {old} of "
+        "each server.",
+    ),
+}
+
+
+def _phrase_sentences(
+    phrase_by_field: dict[str, _Phrase], of: str, old: object, new: object
+) -> Iterator[str]:
+    for field, phrase in phrase_by_field.items():
+        before, after = getattr(old, field), getattr(new, field)
+        if before != after:
+            yield phrase.tell(of, before, after)
+
+
+def _class_summary(request_class: RequestClass) -> str:
+    twice = "may be run twice" if request_class.idempotent else "is run at most once"
+    return (
+        f"it {twice}, is answered within {milliseconds(request_class.deadline_ms)} "
+        f"and is worth {number(request_class.worth)}"
+    )
+
+
+def _class_sentences(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
+    service = new.service
+    old_by_name = {c.name: c for c in old.classes}
+    new_by_name = {c.name: c for c in new.classes}
+    for name, request_class in new_by_name.items():
+        if name not in old_by_name:
+            summary = _class_summary(request_class)
+            yield f"The {service} now takes a new kind of request, {name}: {summary}."
+            continue
+        of = f"a request of the kind {name} to the {service}"
+        yield from _phrase_sentences(_CLASS_PHRASE_BY_FIELD, of, old_by_name[name], request_class)
+    for name in old_by_name:
+        if name not in new_by_name:
+            yield f"The {service} no longer takes requests of the kind {name}."
+
+
+def _name_sentences(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
+    if old.workspace != new.workspace:
+        yield f"The {new.service} now belongs to {new.workspace}, instead of {old.workspace}."
+    if old.service != new.service:
+        yield f"The {old.service} is now called {new.service}."
+
+
+def _service_changes(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
+    service = new.service
+    return chain(
+        _name_sentences(old, new),
+        out_of_service_sentences(old, new),
+        endpoint_sentences(old, new),
+        _phrase_sentences(_SERVICE_PHRASE_BY_FIELD, service, old, new),
+        _class_sentences(old, new),
+        _phrase_sentences(_COLD_START_PHRASE_BY_FIELD, service, old.cold_start, new.cold_start),
+        _phrase_sentences(_MEASURING_PHRASE_BY_FIELD, service, old.measuring, new.measuring),
+        _phrase_sentences(_RETRIES_PHRASE_BY_FIELD, service, old.retries, new.retries),
+    )
+
+
+def _new_service_sentences(new: ServiceDocument) -> Iterator[str]:
+    domains = sorted({e.failure_domain for e in new.endpoints})
+    kinds = join([c.name for c in new.classes])
+    yield (
+        f"The {new.service} of {new.workspace} is new: {servers(len(new.endpoints))} in "
+        f"{count(len(domains), 'failure domain')} ({join(domains)}), each working on at most "
+        f"{requests(new.slots)} at once, of the kinds {kinds}."
+    )
+    empty = type(new.out_of_service)()
+    before = _replace(new, out_of_service=empty)
+    yield from out_of_service_sentences(before, new)
+
+
+def _new_workspace_sentences(new: WorkspaceDocument) -> Iterator[str]:
+    yield (
+        f"{sentence(new.workspace)} is new, with {count(len(new.customers), 'customer')}; a "
+        f"customer that is not named may send {requests(new.default_rate_per_s)} a second and "
+        f"have {requests(new.default_concurrency)} open at once."
+    )
+    yield from customer_sentences(_replace(new, customers=(), limit_owners=()), new)
+
+
+def _version_sentence(old: Document, new: Document) -> Iterator[str]:
+    if old == new:
+        return
+    if old.version == new.version:
+        yield f"Only the order of the entries of {new.key} changed, which means nothing."
+        return
+    yield f"Only the version of {new.key} changed, from {old.version} to {new.version}."
+
+
+def _changes(old: Document | None, new: Document) -> Iterator[str]:
+    match old, new:
+        case ServiceDocument(), ServiceDocument():
+            yield from _service_changes(old, new)
+        case WorkspaceDocument(), WorkspaceDocument():
+            yield from customer_sentences(old, new)
+        case _, ServiceDocument():
+            yield from _new_service_sentences(new)
+        case _, WorkspaceDocument():
+            yield from _new_workspace_sentences(new)
+
+
+def sentences(old: Document | None, new: Document) -> Iterator[str]:
+    """Tell each difference between two documents of one key as a plain sentence.
+
+    Args:
+        old: The document before, or None if there was none.
+        new: The document after.
+
+    Yields:
+        One sentence a change; none if the documents are equal. A change of the version is told
+        only where nothing else changed.
+    """
+    told = False
+    for text in _changes(old, new):
+        told = True
+        yield text
+    if not told and old is not None:
+        yield from _version_sentence(old, new)
--- /dev/null
+++ b/src/pollenroad/explain_servers.py
@@ -0,0 +1,97 @@
+"""Changes of a service's endpoints, and of what is out of service, as plain sentences."""
+
+from collections.abc import Iterator
+
+from pollenroad.models import Endpoint, ServiceDocument
+from pollenroad.wording import join, servers
+
+
+def endpoints_in_service(document: ServiceDocument) -> list[Endpoint]:
+    """Return the endpoints of a service that neither a failure domain nor a VM takes out."""
+    out = document.out_of_service
+    return [
+        e
+        for e in document.endpoints
+        if e.failure_domain not in out.failure_domains and e.vm not in out.vms
+    ]
+
+
+def _their_requests(count: int) -> str:
+    if count == 1:
+        return "its 1 server gets no new requests, and finishes the ones that it has"
+    return f"its {servers(count)} get no new requests, and finish the ones that they have"
+
+
+def _return(count: int) -> str:
+    if count == 1:
+        return "its 1 server gets new requests again"
+    return f"its {servers(count)} get new requests again"
+
+
+def _domain_sentences(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
+    before = old.out_of_service.failure_domains
+    after = new.out_of_service.failure_domains
+    usable = endpoints_in_service(new)
+    for domain in after:
+        if domain not in before:
+            held = sum(e.failure_domain == domain for e in new.endpoints)
+            place = f"Failure domain {domain} of the {new.service}"
+            yield f"{place} is out of service: {_their_requests(held)}."
+    for domain in before:
+        if domain not in after:
+            back = sum(e.failure_domain == domain for e in usable)
+            place = f"Failure domain {domain} of the {new.service}"
+            if back:
+                yield f"{place} is back in service: {_return(back)}."
+            else:
+                yield f"{place} is back in service, but the VMs of its servers are still out."
+
+
+def _vm_sentences(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
+    before = old.out_of_service.vms
+    after = new.out_of_service.vms
+    usable_vms = {e.vm for e in endpoints_in_service(new)}
+    for vm in after:
+        if vm not in before:
+            yield f"VM {vm} of the {new.service} is out of service: {_their_requests(1)}."
+    for vm in before:
+        if vm not in after:
+            place = f"VM {vm} of the {new.service}"
+            if vm in usable_vms:
+                yield f"{place} is back in service: {_return(1)}."
+            else:
+                yield f"{place} is back in service, but its failure domain is still out."
+
+
+def out_of_service_sentences(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
+    """Tell what was taken out of service and what was brought back."""
+    yield from _domain_sentences(old, new)
+    yield from _vm_sentences(old, new)
+
+
+def _moves(old: Endpoint, new: Endpoint) -> Iterator[str]:
+    if old.vm != new.vm:
+        yield f"is now on VM {new.vm}, instead of {old.vm}"
+    if old.failure_domain != new.failure_domain:
+        yield f"is now in failure domain {new.failure_domain}, instead of {old.failure_domain}"
+    if old.address != new.address:
+        yield f"is now reached at {new.address}, instead of {old.address}"
+
+
+def endpoint_sentences(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
+    """Tell which endpoints came, left or moved."""
+    old_by_name = {e.name: e for e in old.endpoints}
+    new_by_name = {e.name: e for e in new.endpoints}
+    for name, endpoint in new_by_name.items():
+        if name not in old_by_name:
+            yield (
+                f"Server {name} is new at the {new.service}: on VM {endpoint.vm} in failure domain "
+                f"{endpoint.failure_domain}, reached at {endpoint.address}."
+            )
+            continue
+        moves = list(_moves(old_by_name[name], endpoint))
+        if moves:
+            yield f"Server {name} of the {new.service} {join(moves)}."
+    for name in old_by_name:
+        if name not in new_by_name:
+            yield f"Server {name} no longer belongs to the {new.service} and gets no new requests."
--- a/src/pollenroad/models.py
+++ b/src/pollenroad/models.py
@@ -119,6 +119,11 @@
     subset_size: Positive = 20
     """Endpoints that one entry spreads its calls over."""
     max_body_bytes: Annotated[int, Meta(ge=0, le=8_388_608)] = 1_048_576
+    peak_in_flight: Annotated[int, Meta(ge=0)] = 0
+    """Requests in flight at the usual peak, all endpoints together; 0 where it is not known.
+
+    Only for the warning that a change leaves too little capacity; no decision rests on it.
+    """
 
     @property
     def key(self) -> str:
--- /dev/null
+++ b/src/pollenroad/problems.py
@@ -0,0 +1,53 @@
+"""What a check finds wrong: where, why, and what to do about it."""
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+ROOT = "$"
+"""Path of a whole document."""
+
+
+class Severity(enum.StrEnum):
+    """How much a problem weighs."""
+
+    ERROR = "error"
+    """The file or document must not come into force."""
+
+    WARNING = "warning"
+    """Valid, but likely not what the operator wants."""
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing that a check found."""
+
+    path: str
+    """Path within the document, such as `$.endpoints[2].address`."""
+    reason: str
+    """What is wrong there, as a clause without a full stop."""
+    hint: str = ""
+    """What to do about it, or an empty string."""
+    severity: Severity = Severity.ERROR
+    source: str = ""
+    """File name or document key."""
+
+    def __str__(self) -> str:
+        hint = f" (hint: {self.hint})" if self.hint else ""
+        place = f"{self.source}: {self.path}" if self.source else self.path
+        return f"{self.severity.value}: {place}: {self.reason}{hint}"
+
+
+def errors_of(problems: Iterable[Problem]) -> list[Problem]:
+    """Return only the errors among `problems`."""
+    return [problem for problem in problems if problem.severity is Severity.ERROR]
+
+
+def key_path(path: str, key: str) -> str:
+    """Return the path of `key` within the object at `path`."""
+    return f"{path}.{key}"
+
+
+def index_path(path: str, index: int) -> str:
+    """Return the path of item `index` of the array at `path`."""
+    return f"{path}[{index}]"
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,142 @@
+"""Tests of the sentences that explain a change, and of the warnings about capacity."""
+
+import unittest
+from collections.abc import Iterator
+
+import msgspec
+from msgspec.structs import fields, replace
+
+from pollenroad.capacity import capacity_warnings
+from pollenroad.explain import sentences
+from pollenroad.models import OutOfService
+from tests.documents import make_endpoint, make_service, make_workspace
+
+JARGON = ("idempotent", "hedge", "endpoint", "None", "True", "False", "{", "_", "()", "0.0")
+
+
+def _changed(value: object) -> object:
+    match value:
+        case bool():
+            return not value
+        case int() | float():
+            return value + 3
+        case str():
+            return value.replace("1", "9") if ":" in value else value + "-x"
+    raise AssertionError(f"no change known for {value!r}")
+
+
+def _mutations(value: object, path: str = "$") -> Iterator[tuple[str, object]]:
+    """Yield each parameter's path with a copy of `value` in which only it is changed."""
+    if isinstance(value, msgspec.Struct):
+        for field in fields(value):
+            inner = getattr(value, field.name)
+            for leaf, changed in _mutations(inner, f"{path}.{field.name}"):
+                yield leaf, replace(value, **{field.name: changed})
+    elif isinstance(value, tuple) and value:
+        for leaf, changed in _mutations(value[0], f"{path}[0]"):
+            yield leaf, (changed, *value[1:])
+        yield f"{path}-", value[1:]
+    elif isinstance(value, tuple):
+        yield f"{path}+", ("ne-east-a",) if path.endswith("failure_domains") else ("vm-1",)
+    else:
+        yield path, _changed(value)
+
+
+class CoverageTest(unittest.TestCase):
+    def _check_all(self, document: msgspec.Struct) -> list[str]:
+        paths = []
+        for path, changed in _mutations(document):
+            told = list(sentences(document, changed))
+            with self.subTest(path=path):
+                self.assertTrue(told)
+                for text in told:
+                    self.assertRegex(text, r"^[A-Z].*[^ ]\.$")
+                    self.assertFalse([word for word in JARGON if word in text], text)
+            paths.append(path)
+        return paths
+
+    def test_every_parameter_of_a_service_is_explained(self):
+        paths = self._check_all(make_service())
+        for name in msgspec.structs.fields(make_service()):
+            self.assertTrue([p for p in paths if p.startswith(f"$.{name.name}")], name.name)
+
+    def test_every_parameter_of_a_workspace_is_explained(self):
+        self._check_all(make_workspace())
+
+    def test_turning_a_limit_off_is_explained(self):
+        old = make_service()
+        zero = replace(old.measuring, server_ms_per_s=0.0)
+        told = list(sentences(old, replace(old, measuring=zero)))
+        self.assertEqual(len(told), 1)
+        self.assertIn("no test requests are sent any more", told[0].lower())
+
+    def test_equal_documents_have_no_sentence(self):
+        self.assertEqual(list(sentences(make_service(), make_service())), [])
+
+
+class SentenceTest(unittest.TestCase):
+    def test_failure_domain_out_and_back(self):
+        old = make_service()
+        new = replace(old, version=2, out_of_service=OutOfService(failure_domains=("ne-east-b",)))
+        self.assertEqual(
+            list(sentences(old, new)),
+            [
+                "Failure domain ne-east-b of the registry is out of service: its 2 servers get no "
+                "new requests, and finish the ones that they have."
+            ],
+        )
+        self.assertEqual(
+            list(sentences(new, replace(old, version=3))),
+            [
+                "Failure domain ne-east-b of the registry is back in service: its 2 servers get "
+                "new requests again."
+            ],
+        )
+
+    def test_vm_stays_out_with_its_failure_domain(self):
+        out = OutOfService(failure_domains=("ne-east-c",), vms=("vm-3",))
+        old = make_service(out_of_service=out)
+        new = replace(old, out_of_service=OutOfService(failure_domains=("ne-east-c",)))
+        [text] = sentences(old, new)
+        self.assertIn("its failure domain is still out", text)
+
+    def test_one_sentence_for_one_change_of_value(self):
+        old = make_service()
+        [text] = sentences(old, replace(old, slots=25, version=2))
+        self.assertEqual(
+            text,
+            "Each server of the registry now works on at most 25 requests at once, "
+            "instead of 20 requests.",
+        )
+
+    def test_a_new_document_is_summed_up(self):
+        out = OutOfService(vms=("vm-1",))
+        told = list(sentences(None, make_service(out_of_service=out)))
+        self.assertIn("5 servers in 3 failure domains", told[0])
+        self.assertIn("VM vm-1", told[1])
+        self.assertEqual(len(list(sentences(None, make_workspace()))), 4)
+
+
+class CapacityTest(unittest.TestCase):
+    def test_all_out_of_service(self):
+        out = OutOfService(failure_domains=("ne-east-a", "ne-east-b", "ne-east-c"))
+        [warning] = capacity_warnings(None, make_service(out_of_service=out))
+        self.assertIn("every server of the registry", warning.reason)
+
+    def test_less_than_the_stated_peak(self):
+        out = OutOfService(failure_domains=("ne-east-a",))
+        new = make_service(peak_in_flight=70, out_of_service=out)
+        [warning] = capacity_warnings(None, new)
+        self.assertIn("less than the 70", warning.reason)
+
+    def test_the_next_failure_domain_would_be_too_much(self):
+        [warning] = capacity_warnings(None, make_service(peak_in_flight=70))
+        self.assertIn("60 without failure domain ne-east-a", warning.reason)
+        self.assertEqual(capacity_warnings(None, make_service(peak_in_flight=60)), [])
+
+    def test_a_large_step_down_without_a_stated_peak(self):
+        old = make_service()
+        [warning] = capacity_warnings(old, replace(old, endpoints=(make_endpoint(1),)))
+        self.assertIn("20 requests at once after this change, instead of 100", warning.reason)
+        out = OutOfService(failure_domains=("ne-east-a",))
+        self.assertEqual(capacity_warnings(old, replace(old, out_of_service=out)), [])
