--- a/src/pollenroad/models.py
+++ b/src/pollenroad/models.py
@@ -99,32 +99,42 @@
     vms: tuple[Name, ...] = ()
 
 
-class ServiceDocument(Declared, tag_field="kind", tag="service"):
-    """One service, rendered from its template and the parameters of its workspace."""
+class ServiceRules(Declared, kw_only=True):
+    """What holds for every server of one kind: a template states it, a document carries it."""
 
-    workspace: Name
-    service: Name
-    version: Positive
     slots: Positive
+    """Requests that one warm server works on at once."""
     connections: Positive
+    """Connections that one server holds."""
     classes: tuple[RequestClass, ...]
+    """Kinds of requests that the service takes."""
     default_class: Name
-    endpoints: tuple[Endpoint, ...]
+    """Class of a request that states none."""
     cold_start: ColdStart = ColdStart()
     measuring: MeasuringBudget = MeasuringBudget()
     retries: RetryRules = RetryRules()
-    out_of_service: OutOfService = OutOfService()
     drain_s: Seconds = 30.0
     """Longest time that a stopping daemon waits for requests in flight."""
     subset_size: Positive = 20
     """Endpoints that one entry spreads its calls over."""
     max_body_bytes: Annotated[int, Meta(ge=0, le=8_388_608)] = 1_048_576
+    """Longest body of a request."""
     peak_in_flight: Annotated[int, Meta(ge=0)] = 0
     """Requests in flight at the usual peak, all endpoints together; 0 where it is not known.
 
     Only for the warning that a change leaves too little capacity; no decision rests on it.
     """
 
+
+class ServiceDocument(ServiceRules, kw_only=True, tag_field="kind", tag="service"):
+    """One service, rendered from its template and the parameters of its workspace."""
+
+    workspace: Name
+    service: Name
+    version: Positive
+    endpoints: tuple[Endpoint, ...]
+    out_of_service: OutOfService = OutOfService()
+
     @property
     def key(self) -> str:
         """Key of the document: `WORKSPACE/SERVICE`."""
