Render templates and parameters, check them, and tell differences

Cause: operators keep one template per kind of service and parameters per workspace in version control; nothing turned them into documents yet.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 MINUTES ?= 1
 
-.PHONY: setup test lint format demo fuzz
+.PHONY: setup test lint format schema examples demo fuzz
 
 setup: .venv/.installed
 
@@ -23,6 +23,13 @@
 	.venv/bin/black --quiet src tests
 	.venv/bin/ruff check --fix src tests
 
+schema: setup
+	.venv/bin/python -m pollenroad.schema docs/schema
+
+examples: setup
+	.venv/bin/pollenroad render examples/merrimack
+	.venv/bin/pollenroad render examples/tengerbulag
+
 demo: setup
 	.venv/bin/pollenroad demo
 
--- a/src/pollenroad/checks.py
+++ b/src/pollenroad/checks.py
@@ -15,6 +15,7 @@
     Endpoint,
     RequestClass,
     ServiceDocument,
+    ServiceRules,
     WorkspaceDocument,
 )
 from pollenroad.problems import ROOT, Problem, index_path
@@ -93,7 +94,7 @@
         yield Problem(f"{path}.deadline_ms", reason, hint)
 
 
-def _check_classes(document: ServiceDocument) -> Iterator[Problem]:
+def _check_classes(document: ServiceRules) -> Iterator[Problem]:
     names = [c.name for c in document.classes]
     yield from find_repeated("$.classes[{}].name", names, "request class")
     for index, request_class in enumerate(document.classes):
@@ -108,7 +109,7 @@
         yield Problem("$.classes", reason, "lower guaranteed_share so that the sum is at most 1")
 
 
-def _check_bounds(document: ServiceDocument) -> Iterator[Problem]:
+def _check_bounds(document: ServiceRules) -> Iterator[Problem]:
     if document.connections < document.slots:
         reason = f"{document.connections} connections cannot carry {document.slots} slots"
         yield Problem("$.connections", reason, "set connections to at least slots")
@@ -118,7 +119,7 @@
         yield Problem("$.cold_start.bound", reason, f"set bound to at most {document.slots}")
 
 
-def _check_measuring(document: ServiceDocument) -> Iterator[Problem]:
+def _check_measuring(document: ServiceRules) -> Iterator[Problem]:
     budget = document.measuring
     path = "$.measuring.server_ms_per_s"
     if budget.server_ms_per_s > 0 and budget.probe_cost_ms == 0:
@@ -127,6 +128,11 @@
     if 0 < budget.server_ms_per_s < budget.probe_cost_ms:
         reason = f"one probe of {budget.probe_cost_ms:g} ms does not fit into the budget"
         yield Problem(path, reason, "set it to 0 to forbid probes, or to the cost of one or more")
+
+
+def _check_probe_time(document: ServiceDocument) -> Iterator[Problem]:
+    budget = document.measuring
+    path = "$.measuring.server_ms_per_s"
     slots = len(document.endpoints) * document.slots
     if slots and budget.server_ms_per_s > slots * SECOND_MS:
         reason = f"the {slots} slots together have only {slots * SECOND_MS:g} ms in a second"
@@ -157,12 +163,18 @@
         yield Problem(ROOT, reason, "split the service, or the workspace")
 
 
+def check_rules(rules: ServiceRules) -> Iterator[Problem]:
+    """Yield the errors of what a template and a service document share."""
+    yield from _check_classes(rules)
+    yield from _check_bounds(rules)
+    yield from _check_measuring(rules)
+
+
 def _check_service(document: ServiceDocument) -> Iterator[Problem]:
     return chain(
         check_endpoints("$.endpoints", document.endpoints),
-        _check_classes(document),
-        _check_bounds(document),
-        _check_measuring(document),
+        check_rules(document),
+        _check_probe_time(document),
         _check_out_of_service(document),
         _check_size(document),
     )
--- a/src/pollenroad/problems.py
+++ b/src/pollenroad/problems.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 ROOT = "$"
 """Path of a whole document."""
@@ -43,6 +43,11 @@
     return [problem for problem in problems if problem.severity is Severity.ERROR]
 
 
+def with_source(problems: Iterable[Problem], source: str) -> list[Problem]:
+    """Return `problems` with the file name or document key in which they were found."""
+    return [replace(problem, source=source) for problem in problems]
+
+
 def key_path(path: str, key: str) -> str:
     """Return the path of `key` within the object at `path`."""
     return f"{path}.{key}"
--- /dev/null
+++ b/src/pollenroad/rendering.py
@@ -0,0 +1,100 @@
+"""What rendering a workspace would write: which documents change, and under which version.
+
+A document whose content is unchanged keeps its version. All that change carry the version of the
+parameters, which must be above every version rendered before, since daemons refuse an older
+document, and two different documents under one version.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from pollenroad.advice import advise
+from pollenroad.capacity import capacity_warnings
+from pollenroad.declarations import Workspace
+from pollenroad.models import Document
+from pollenroad.problems import Problem, errors_of, with_source
+from pollenroad.templates import encode_document
+
+
+@dataclass(frozen=True, slots=True)
+class Rendering:
+    """The documents of a workspace, set against those rendered before."""
+
+    document_by_key: dict[str, Document]
+    changed_keys: tuple[str, ...]
+    """Keys whose document is new or has another content than before."""
+    removed_keys: tuple[str, ...]
+    """Keys that were rendered before and are no longer declared."""
+    warnings: tuple[Problem, ...]
+
+
+def _version_problems(
+    version: int, published_by_key: dict[str, Document], changed: bool
+) -> Iterator[Problem]:
+    newest = max((d.version for d in published_by_key.values()), default=0)
+    if changed and version <= newest:
+        reason = f"documents change, and version {version} is not above {newest}, rendered before"
+        yield Problem("$.version", reason, f"set version to {newest + 1} or more")
+
+
+def _warnings(document: Document, published: Document | None) -> list[Problem]:
+    found = [*capacity_warnings(published, document), *advise(document)]
+    return with_source(found, document.key)
+
+
+def make_rendering(workspace: Workspace) -> Result[Rendering, list[Problem]]:
+    """Render a workspace in memory.
+
+    Args:
+        workspace: As `load_workspace` returns it.
+
+    Returns:
+        What would be written, or the errors that stand against it.
+    """
+    if not workspace.is_sound:
+        return Failure(errors_of(workspace.problems))
+    published_by_key = workspace.published_by_key
+    document_by_key = {d.key: d for d in workspace.documents()}
+    changed = [k for k, d in document_by_key.items() if published_by_key.get(k) != d]
+    removed = [k for k in published_by_key if k not in document_by_key]
+    version = workspace.parameters.version
+    problems = list(_version_problems(version, published_by_key, bool(changed or removed)))
+    if problems:
+        return Failure(with_source(problems, str(workspace.source)))
+    warnings = [
+        warning
+        for key, document in document_by_key.items()
+        for warning in _warnings(document, published_by_key.get(key))
+    ]
+    return Success(Rendering(document_by_key, tuple(changed), tuple(removed), tuple(warnings)))
+
+
+def document_path(directory: Path, key: str) -> Path:
+    """Return the file of the document `key` below the directory of rendered documents."""
+    return directory / f"{key}.json"
+
+
+def stale_files(rendering: Rendering, directory: Path) -> list[Path]:
+    """Return the files that differ from the rendering, are missing, or are left over."""
+    stale = []
+    for key, document in rendering.document_by_key.items():
+        path = document_path(directory, key)
+        if not path.is_file() or path.read_bytes() != encode_document(document):
+            stale.append(path)
+    return stale + [document_path(directory, key) for key in rendering.removed_keys]
+
+
+def write_rendering(rendering: Rendering, directory: Path) -> list[Path]:
+    """Write what is stale, remove what is left over, and return the files touched."""
+    stale = stale_files(rendering, directory)
+    for key, document in rendering.document_by_key.items():
+        path = document_path(directory, key)
+        if path in stale:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            path.write_bytes(encode_document(document))
+    for key in rendering.removed_keys:
+        document_path(directory, key).unlink(missing_ok=True)
+    return stale
--- a/src/pollenroad/shape_hints.py
+++ b/src/pollenroad/shape_hints.py
@@ -4,32 +4,40 @@
 import re
 import typing
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import msgspec
 
+
+@dataclass(frozen=True, slots=True)
+class _Unit:
+    name: str
+    slip: float = 1.0
+    """Factor by which a value in a wrong unit is usually too large."""
+
+
 _UNIT_BY_SUFFIX = {
-    "_ms_per_s": "milliseconds in each second",
-    "_per_s": "a second",
-    "_ms": "milliseconds",
-    "_s": "seconds",
-    "_bytes": "bytes",
-    "_share": "a share from 0 to 1",
-    "_ratio": "a share from 0 to 1",
+    "_ms_per_s": _Unit("milliseconds in each second"),
+    "_per_s": _Unit("a second"),
+    "_ms": _Unit("milliseconds", 1000.0),
+    "_s": _Unit("seconds", 1000.0),
+    "_bytes": _Unit("bytes"),
+    "_share": _Unit("a share from 0 to 1", 100.0),
+    "_ratio": _Unit("a share from 0 to 1", 100.0),
 }
 """Unit that a key's ending states; the longest ending comes first."""
 
-_SCALES = (1000.0, 100.0, 0.001)
-"""Factors by which a value in a wrong unit is often off: ms for s, percent, s for ms."""
+_NO_UNIT = _Unit("")
 
 _LEADING_NUMBER = re.compile(r"\s*([0-9]+(?:\.[0-9]+)?)")
 
 
-def _split_unit(key: str) -> tuple[str, str]:
+def _split_unit(key: str) -> tuple[str, _Unit]:
     """Return a key without the ending that states its unit, and the unit."""
     for suffix, unit in _UNIT_BY_SUFFIX.items():
         if key.endswith(suffix):
             return key.removesuffix(suffix), unit
-    return key, ""
+    return key, _NO_UNIT
 
 
 def hint_for_key(key: str, known: Sequence[str]) -> str:
@@ -39,7 +47,7 @@
     near = same_stem or difflib.get_close_matches(key, known, n=1, cutoff=0.6)
     if not near:
         return f"known keys: {', '.join(known)}"
-    unit = _split_unit(near[0])[1]
+    unit = _split_unit(near[0])[1].name
     return f"did you mean {near[0]!r}" + (f", in {unit}?" if unit else "?")
 
 
@@ -51,12 +59,11 @@
     return True
 
 
-def _scaled(value: float, annotation: object) -> str:
-    for scale in _SCALES:
-        candidate = value / scale
-        if _is_accepted(candidate, annotation):
-            return f"{candidate:g}"
-    return ""
+def _hint_for_bounds(value: float, annotation: object, unit: _Unit) -> str:
+    meant = value / unit.slip
+    if unit.slip != 1 and _is_accepted(meant, annotation):
+        return f"did you mean {meant:g}?"
+    return "see the bounds in docs/schema"
 
 
 def _pattern_of(annotation: object) -> str:
@@ -92,13 +99,11 @@
     if base is bool:
         return "write true or false, without quotes"
     unit = _split_unit(path.rpartition(".")[2])[1]
-    unit_hint = f"; the unit is {unit}" if unit else ""
+    unit_hint = f"; the unit is {unit.name}" if unit.name else ""
     if isinstance(value, str):
         number = _LEADING_NUMBER.match(value)
         example = f", such as {number[1]}" if number else ""
         return f"write a plain number{example}, without quotes{unit_hint}"
     if isinstance(value, int | float) and not isinstance(value, bool):
-        scaled = _scaled(value, annotation)
-        meant = f"did you mean {scaled}?" if scaled and unit else "see the bounds in docs/schema"
-        return meant + unit_hint
+        return _hint_for_bounds(value, annotation, unit) + unit_hint
     return f"write a plain number{unit_hint}"
--- /dev/null
+++ b/src/pollenroad/templates.py
@@ -0,0 +1,222 @@
+"""Templates and parameters, as operators keep them in version control, rendered to documents.
+
+A template states what holds for one kind of service. The parameters of a workspace name its
+services, each with its template, endpoints and overrides, and its failure domains, customers and
+what is out of service. `render` is pure: the same input gives the same documents.
+"""
+
+from collections.abc import Iterator, Mapping
+from typing import Annotated
+
+import msgspec
+from msgspec import UNSET, Meta, UnsetType
+
+from pollenroad.models import (
+    CustomerLimit,
+    Declared,
+    Document,
+    Endpoint,
+    Name,
+    OutOfService,
+    Positive,
+    RequestClass,
+    ServiceDocument,
+    ServiceRules,
+    WorkspaceDocument,
+)
+
+
+class Template(ServiceRules, kw_only=True, tag_field="kind", tag="template"):
+    """What holds for every server of one kind of service."""
+
+    name: Name
+    """Name by which parameters refer to this template."""
+
+
+PARTIAL_BASE_BY_NAME: dict[str, type] = {}
+"""For the name of each override, the Struct of which it may state a part."""
+
+_PARTIAL_TYPE_BY_NAME: dict[str, type] = {}
+"""Type of a field of an override, where it is an object of which a part may be stated."""
+
+
+def _make_partial(struct: type, name: str, doc: str, skipped: tuple[str, ...] = ()) -> type:
+    """Make a Struct with the fields of `struct`, all of which may be left out."""
+    fields = [
+        (field.name, _PARTIAL_TYPE_BY_NAME.get(field.name, field.type) | UnsetType, UNSET)
+        for field in msgspec.structs.fields(struct)
+        if field.name not in skipped
+    ]
+    namespace = {"__doc__": doc}
+    PARTIAL_BASE_BY_NAME[name] = struct
+    return msgspec.defstruct(
+        name, fields, bases=(Declared,), namespace=namespace, module=__name__, kw_only=True
+    )
+
+
+ClassOverride = _make_partial(
+    RequestClass, "ClassOverride", "Settings of a request class that differ.", ("name",)
+)
+for _field in msgspec.structs.fields(ServiceRules):
+    if isinstance(_field.type, type) and issubclass(_field.type, msgspec.Struct):
+        _PARTIAL_TYPE_BY_NAME[_field.name] = _make_partial(
+            _field.type,
+            f"{_field.type.__name__}Override",
+            f"Settings of {_field.name} that differ.",
+        )
+_PARTIAL_TYPE_BY_NAME["classes"] = dict[Name, ClassOverride]
+
+Overrides = _make_partial(
+    ServiceRules, "Overrides", "What differs from the template; classes are keyed by name."
+)
+
+
+class ServiceParameters(Declared, kw_only=True):
+    """One service of a workspace."""
+
+    template: Name
+    """Name of the template."""
+    endpoints: tuple[Endpoint, ...]
+    overrides: Overrides = Overrides()
+    """What differs from the template for this service."""
+
+
+class CustomerParameters(Declared, kw_only=True):
+    """How much one customer may ask."""
+
+    rate_per_s: Annotated[float, Meta(gt=0)]
+    """Requests a second."""
+    concurrency: Positive
+    """Requests open at once."""
+
+
+class Parameters(Declared, kw_only=True, tag_field="kind", tag="parameters"):
+    """The parameters of one workspace."""
+
+    workspace: Name
+    version: Positive
+    """Raised with every change; each document that changes carries it."""
+    failure_domains: tuple[Name, ...]
+    """Every failure domain that holds a VM of the workspace."""
+    services: dict[Name, ServiceParameters]
+    customers: dict[Name, CustomerParameters] = {}
+    default_rate_per_s: Annotated[float, Meta(gt=0)] = 100.0
+    """Requests a second of a customer that is not named."""
+    default_concurrency: Positive = 50
+    """Requests open at once of a customer that is not named."""
+    out_of_service: OutOfService = OutOfService()
+    limit_owner_vms: tuple[Name, ...] = ()
+    """VMs among which the owners of customers' limits are chosen; empty for all of them."""
+
+
+def _apply_class(classes: tuple[RequestClass, ...], override_by_name: Mapping) -> Iterator:
+    for request_class in classes:
+        override = override_by_name.get(request_class.name)
+        yield apply_overrides(request_class, override) if override else request_class
+
+
+def _apply_value(value: object, override: object) -> object:
+    match value, override:
+        case msgspec.Struct(), msgspec.Struct():
+            return apply_overrides(value, override)
+        case tuple(), dict():
+            return tuple(_apply_class(value, override))
+    return override
+
+
+def apply_overrides(base: msgspec.Struct, override: msgspec.Struct) -> msgspec.Struct:
+    """Return `base` with each value that `override` sets."""
+    changes = {}
+    for name in override.__struct_fields__:
+        value = getattr(override, name)
+        if value is not UNSET:
+            changes[name] = _apply_value(getattr(base, name), value)
+    return msgspec.structs.replace(base, **changes)
+
+
+def _relevant_out_of_service(out: OutOfService, endpoints: tuple[Endpoint, ...]) -> OutOfService:
+    domains = {e.failure_domain for e in endpoints}
+    vms = {e.vm for e in endpoints}
+    return OutOfService(
+        failure_domains=tuple(d for d in out.failure_domains if d in domains),
+        vms=tuple(vm for vm in out.vms if vm in vms),
+    )
+
+
+def _render_service(
+    parameters: Parameters, name: str, service: ServiceParameters, template: Template
+) -> ServiceDocument:
+    rules = apply_overrides(template, service.overrides)
+    shared = {field: getattr(rules, field) for field in ServiceRules.__struct_fields__}
+    return ServiceDocument(
+        workspace=parameters.workspace,
+        service=name,
+        version=parameters.version,
+        endpoints=service.endpoints,
+        out_of_service=_relevant_out_of_service(parameters.out_of_service, service.endpoints),
+        **shared,
+    )
+
+
+def _render_workspace(parameters: Parameters) -> WorkspaceDocument:
+    address_by_vm = {e.vm: e.address for s in parameters.services.values() for e in s.endpoints}
+    customers = (
+        CustomerLimit(name=name, rate_per_s=limit.rate_per_s, concurrency=limit.concurrency)
+        for name, limit in parameters.customers.items()
+    )
+    return WorkspaceDocument(
+        workspace=parameters.workspace,
+        version=parameters.version,
+        customers=tuple(customers),
+        default_rate_per_s=parameters.default_rate_per_s,
+        default_concurrency=parameters.default_concurrency,
+        limit_owners=tuple(address_by_vm[vm] for vm in parameters.limit_owner_vms),
+    )
+
+
+def render(parameters: Parameters, template_by_name: Mapping[str, Template]) -> Iterator[Document]:
+    """Yield the documents of a workspace, each with the version of the parameters.
+
+    Args:
+        parameters: Parameters in which `checks_parameters.check_parameters` found no error.
+        template_by_name: The templates that the parameters may name.
+
+    Yields:
+        The workspace's own document first, then one a service.
+    """
+    yield _render_workspace(parameters)
+    for name, service in parameters.services.items():
+        yield _render_service(parameters, name, service, template_by_name[service.template])
+
+
+def with_kept_versions(
+    documents: list[Document], published_by_key: Mapping[str, Document]
+) -> Iterator[Document]:
+    """Yield rendered documents, those whose content is unchanged with their earlier version.
+
+    Args:
+        documents: Documents fresh from `render`.
+        published_by_key: The documents rendered before.
+    """
+    for document in documents:
+        published = published_by_key.get(document.key)
+        yield published if published and same_content(document, published) else document
+
+
+def same_content(one: Document, other: Document) -> bool:
+    """Tell whether two documents differ in nothing but their version."""
+    if type(one) is not type(other):
+        return False
+    return msgspec.structs.replace(one, version=other.version) == other
+
+
+_FIRST_KEYS = ("kind", "workspace", "service", "version")
+"""Keys that a rendered document starts with."""
+
+
+def encode_document(document: Document) -> bytes:
+    """Return the text of a rendered document, with every default written out."""
+    plain = msgspec.to_builtins(document)
+    first = {key: plain[key] for key in _FIRST_KEYS if key in plain}
+    text = msgspec.json.encode(first | plain)
+    return msgspec.json.format(text, indent=2) + b"\n"
