Let the coverage test of sentences see a parameter without one

Cause: a trial that dropped the sentences of drain_s and min_per_s passed every test: the sentence 'only the order changed' stood in for any difference. Change: the order is compared, and what is left is told as having no sentence; the tests refuse that sentence.

--- a/src/pollenroad/explain.py
+++ b/src/pollenroad/explain.py
@@ -4,11 +4,17 @@
 from dataclasses import dataclass
 from itertools import chain
 
-from msgspec.structs import replace as _replace
+import msgspec
 
 from pollenroad.explain_customers import customer_sentences
 from pollenroad.explain_servers import endpoint_sentences, out_of_service_sentences
-from pollenroad.models import Document, RequestClass, ServiceDocument, WorkspaceDocument
+from pollenroad.models import (
+    Document,
+    OutOfService,
+    RequestClass,
+    ServiceDocument,
+    WorkspaceDocument,
+)
 from pollenroad.wording import (
     connections,
     count,
@@ -230,8 +236,8 @@
         f"{count(len(domains), 'failure domain')} ({join(domains)}), each working on at most "
         f"{requests(new.slots)} at once, of the kinds {kinds}."
     )
-    empty = type(new.out_of_service)()
-    before = _replace(new, out_of_service=empty)
+    empty = OutOfService()
+    before = msgspec.structs.replace(new, out_of_service=empty)
     yield from out_of_service_sentences(before, new)
 
 
@@ -241,16 +247,29 @@
         f"customer that is not named may send {requests(new.default_rate_per_s)} a second and "
         f"have {requests(new.default_concurrency)} open at once."
     )
-    yield from customer_sentences(_replace(new, customers=(), limit_owners=()), new)
+    yield from customer_sentences(msgspec.structs.replace(new, customers=(), limit_owners=()), new)
+
 
+def _without_order(value: object) -> object:
+    match value:
+        case msgspec.Struct():
+            fields = type(value).__struct_fields__
+            return tuple(_without_order(getattr(value, f)) for f in fields if f != "version")
+        case tuple():
+            return frozenset(_without_order(item) for item in value)
+    return value
 
-def _version_sentence(old: Document, new: Document) -> Iterator[str]:
+
+def _other_sentences(old: Document, new: Document) -> Iterator[str]:
+    """Tell that documents differ where no sentence about a parameter does."""
     if old == new:
         return
-    if old.version == new.version:
+    if _without_order(old) != _without_order(new):
+        yield f"Something of {new.key} changed for which there is no sentence yet."
+    elif old.version == new.version:
         yield f"Only the order of the entries of {new.key} changed, which means nothing."
-        return
-    yield f"Only the version of {new.key} changed, from {old.version} to {new.version}."
+    else:
+        yield f"Only the version of {new.key} changed, from {old.version} to {new.version}."
 
 
 def _changes(old: Document | None, new: Document) -> Iterator[str]:
@@ -281,4 +300,4 @@
         told = True
         yield text
     if not told and old is not None:
-        yield from _version_sentence(old, new)
+        yield from _other_sentences(old, new)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -49,6 +49,8 @@
             told = list(sentences(document, changed))
             with self.subTest(path=path):
                 self.assertTrue(told)
+                self.assertNotIn("no sentence yet", told[0])
+                self.assertEqual(told[0].startswith("Only the version"), path == "$.version")
                 for text in told:
                     self.assertRegex(text, r"^[A-Z].*[^ ]\.$")
                     self.assertFalse([word for word in JARGON if word in text], text)
@@ -70,6 +72,11 @@
         self.assertEqual(len(told), 1)
         self.assertIn("no test requests are sent any more", told[0].lower())
 
+    def test_another_order_is_told_as_such(self):
+        old = make_service()
+        [text] = sentences(old, replace(old, endpoints=old.endpoints[::-1]))
+        self.assertIn("Only the order", text)
+
     def test_equal_documents_have_no_sentence(self):
         self.assertEqual(list(sentences(make_service(), make_service())), [])
 
--- a/tests/test_render.py
+++ b/tests/test_render.py
@@ -152,10 +152,12 @@
     def _told(self, parameters, template_by_name) -> list[str]:
         old = {d.key: d for d in render_documents(self.parameters, self.template_by_name)}
         new = {d.key: d for d in render_documents(parameters, template_by_name)}
-        return [
+        told = [
             *document_sentences(old, new),
             *parameter_sentences(self.parameters, parameters),
         ]
+        self.assertNotIn("no sentence yet", " ".join(told))
+        return told
 
     def _mutations(self, plain: object, path: str = "$"):
         match plain:
