--- a/src/pollenroad/commands/check.py
+++ b/src/pollenroad/commands/check.py
@@ -8,7 +8,6 @@
 from returns.result import Failure, Success
 
 from pollenroad.advice import advise
-from pollenroad.capacity import capacity_warnings
 from pollenroad.declarations import (
     PARAMETERS_FILE,
     Workspace,
@@ -17,6 +16,7 @@
     load_workspace,
     read_declaration,
 )
+from pollenroad.headroom import capacity_warnings
 from pollenroad.models import ServiceDocument, WorkspaceDocument
 from pollenroad.problems import ROOT, Problem, Severity, errors_of, with_source
 from pollenroad.rendering import make_rendering, stale_files
--- a/src/pollenroad/commands/diff.py
+++ b/src/pollenroad/commands/diff.py
@@ -7,7 +7,6 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from pollenroad.capacity import capacity_warnings
 from pollenroad.declarations import (
     PARAMETERS_FILE,
     load_workspace,
@@ -15,6 +14,7 @@
     read_documents,
 )
 from pollenroad.explain_parameters import document_sentences, parameter_sentences
+from pollenroad.headroom import capacity_warnings
 from pollenroad.models import Document
 from pollenroad.problems import Problem, errors_of, with_source
 from pollenroad.templates import Parameters
--- a/src/pollenroad/explain.py
+++ b/src/pollenroad/explain.py
@@ -89,12 +89,18 @@
         "instead of {old}.",
         requests,
     ),
+    "cold_s": _Phrase(
+        "a server of the {of} that has just started is now spared for {new}, instead of {old}.",
+        seconds,
+        "a server of the {of} that has just started is no longer spared at first, "
+        "which lasted {old}.",
+    ),
     "ramp_s": _Phrase(
-        "a server of the {of} that has just started now gets its full share after {new}, "
-        "instead of {old}.",
+        "a server of the {of} that was spared after its start now gets more and more for {new} "
+        "until it has its full share, instead of {old}.",
         seconds,
-        "a server of the {of} that has just started now gets its full share at once, "
-        "instead of after {old}.",
+        "a server of the {of} that was spared after its start now gets its full share at once, "
+        "instead of over {old}.",
     ),
     "idle_s": _Phrase(
         "a server of the {of} is now treated as just started after {new} without a request, "
--- a/src/pollenroad/rendering.py
+++ b/src/pollenroad/rendering.py
@@ -12,8 +12,8 @@
 from returns.result import Failure, Result, Success
 
 from pollenroad.advice import advise
-from pollenroad.capacity import capacity_warnings
 from pollenroad.declarations import Workspace
+from pollenroad.headroom import capacity_warnings
 from pollenroad.models import Document
 from pollenroad.problems import Problem, errors_of, with_source
 from pollenroad.templates import encode_document
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -6,8 +6,8 @@
 import msgspec
 from msgspec.structs import fields, replace
 
-from pollenroad.capacity import capacity_warnings
 from pollenroad.explain import sentences
+from pollenroad.headroom import capacity_warnings
 from pollenroad.models import OutOfService
 from tests.documents import make_endpoint, make_service, make_workspace
 
