--- a/src/pollenroad/cli.py
+++ b/src/pollenroad/cli.py
@@ -124,7 +124,7 @@
     parsed = decorators.SetParseFns(**_parsers(function))(function)
     if any(p.kind is p.VAR_POSITIONAL for p in inspect.signature(function).parameters.values()):
         parsed = decorators.SetParseFn(str)(parsed)
-    result = fire.Fire(parsed, arguments, f"pollenroad {command}", serialize=lambda _: "")
+    result = fire.Fire(parsed, arguments, f"pollenroad {command}", serialize=lambda _: None)
     return result if isinstance(result, int) else EXIT_DONE
 
 
--- a/src/pollenroad/commands/check.py
+++ b/src/pollenroad/commands/check.py
@@ -20,6 +20,7 @@
 from pollenroad.models import ServiceDocument, WorkspaceDocument
 from pollenroad.problems import ROOT, Problem, Severity, errors_of, with_source
 from pollenroad.rendering import make_rendering, stale_files
+from pollenroad.wording import count
 
 
 def _check_file(path: Path) -> list[Problem]:
@@ -65,7 +66,8 @@
     for problem in problems:
         print(problem)
     errors = len(errors_of(problems))
-    print(f"{files} files checked: {errors} errors, {len(problems) - errors} warnings")
+    warnings = count(len(problems) - errors, "warning")
+    print(f"{count(files, 'file')} checked: {count(errors, 'error')}, {warnings}")
 
 
 def _print_json(problems: list[Problem], files: int) -> None:
--- a/src/pollenroad/explain_servers.py
+++ b/src/pollenroad/explain_servers.py
@@ -1,5 +1,6 @@
 """Changes of a service's endpoints, and of what is out of service, as plain sentences."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from pollenroad.models import Endpoint, ServiceDocument
@@ -16,6 +17,10 @@
     ]
 
 
+_ITS_REQUESTS = "its server gets no new requests, and finishes the ones that it has"
+"""What the loss of one VM means."""
+
+
 def _their_requests(count: int) -> str:
     if count == 1:
         return "its 1 server gets no new requests, and finishes the ones that it has"
@@ -31,40 +36,45 @@
 def _domain_sentences(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
     before = old.out_of_service.failure_domains
     after = new.out_of_service.failure_domains
-    usable = endpoints_in_service(new)
+    held_by_domain = Counter(e.failure_domain for e in new.endpoints)
+    usable_by_domain = Counter(e.failure_domain for e in endpoints_in_service(new))
     for domain in after:
         if domain not in before:
-            held = sum(e.failure_domain == domain for e in new.endpoints)
             place = f"Failure domain {domain} of the {new.service}"
-            yield f"{place} is out of service: {_their_requests(held)}."
+            yield f"{place} is out of service: {_their_requests(held_by_domain[domain])}."
     for domain in before:
-        if domain not in after:
-            back = sum(e.failure_domain == domain for e in usable)
-            place = f"Failure domain {domain} of the {new.service}"
-            if back:
-                yield f"{place} is back in service: {_return(back)}."
-            else:
-                yield f"{place} is back in service, but the VMs of its servers are still out."
+        if domain in after or not held_by_domain[domain]:
+            continue
+        place = f"Failure domain {domain} of the {new.service}"
+        if usable_by_domain[domain]:
+            yield f"{place} is back in service: {_return(usable_by_domain[domain])}."
+        else:
+            yield f"{place} is back in service, but the VMs of its servers are still out."
 
 
 def _vm_sentences(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
     before = old.out_of_service.vms
     after = new.out_of_service.vms
+    held_vms = {e.vm for e in new.endpoints}
     usable_vms = {e.vm for e in endpoints_in_service(new)}
     for vm in after:
         if vm not in before:
-            yield f"VM {vm} of the {new.service} is out of service: {_their_requests(1)}."
+            yield f"VM {vm} of the {new.service} is out of service: {_ITS_REQUESTS}."
     for vm in before:
-        if vm not in after:
-            place = f"VM {vm} of the {new.service}"
-            if vm in usable_vms:
-                yield f"{place} is back in service: {_return(1)}."
-            else:
-                yield f"{place} is back in service, but its failure domain is still out."
+        if vm in after or vm not in held_vms:
+            continue
+        place = f"VM {vm} of the {new.service}"
+        if vm in usable_vms:
+            yield f"{place} is back in service: its server gets new requests again."
+        else:
+            yield f"{place} is back in service, but its failure domain is still out."
 
 
 def out_of_service_sentences(old: ServiceDocument, new: ServiceDocument) -> Iterator[str]:
-    """Tell what was taken out of service and what was brought back."""
+    """Tell what was taken out of service and what was brought back.
+
+    What holds no server any more is told by `endpoint_sentences` alone.
+    """
     yield from _domain_sentences(old, new)
     yield from _vm_sentences(old, new)
 
