Refuse names and addresses that end with a line feed

Cause: Python's $ matches before a line feed at the end, so the name 'vm-1\n' passed; names travel in headers. Change: the patterns of Name, Address and the settings' ServiceKey end with $(?!\n), which JSON Schema readers understand too; two broken examples more.

--- a/src/pollenroad/models.py
+++ b/src/pollenroad/models.py
@@ -10,8 +10,11 @@
 import msgspec
 from msgspec import Meta
 
-Name = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
-Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+END = r"$(?!\n)"
+"""End of a text in a pattern: in Python, `$` alone also matches before a line feed at the end."""
+
+Name = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}" + END)]
+Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}" + END)]
 """IP number and port, such as `10.0.0.7:7100`."""
 
 Positive = Annotated[int, Meta(ge=1)]
--- a/src/pollenroad/settings.py
+++ b/src/pollenroad/settings.py
@@ -9,9 +9,9 @@
 from returns.result import Failure, Result, Success
 
 from pollenroad.exceptions import ConfigurationError
-from pollenroad.models import Address, Declared, Name
+from pollenroad.models import END, Address, Declared, Name
 
-ServiceKey = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]*/[a-z0-9][a-z0-9-]*$")]
+ServiceKey = Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9-]*/[a-z0-9][a-z0-9-]*" + END)]
 _PATH_IN_MESSAGE = re.compile(r"^(?P<reason>.*) - at `(?P<path>[^`]*)`$")
 
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -41,6 +41,8 @@
     Broken(PARAMETERS, "$.kind", "parameter", "unknown kind"),
     Broken(PARAMETERS, "$.kind", DELETED, "key 'kind' is missing"),
     Broken(PARAMETERS, "$.workspace", "Merrimack!", "lower-case letters"),
+    Broken(PARAMETERS, "$.workspace", "merrimack\n", "lower-case letters"),
+    Broken(PARAMETERS, f"{ENDPOINT}.address", "127.0.1.2:7100\n", "is refused"),
     Broken(PARAMETERS, "$.version", 0, "expected `int` >= 1"),
     Broken(PARAMETERS, "$.version", DELETED, "key 'version' is missing"),
     Broken(PARAMETERS, "$.failure_domains", TWICE, "used twice", "$.failure_domains[1]"),
