Give documents whose bytes differ a new version, also where they mean the same

Cause: daemons tell two documents under one version apart by a hash of their bytes. render rewrote a file that only looked different (a release that adds a default, another layout) under its old version; daemons would have refused it. Ruled out: leaving such a file alone, since then the published document and the rendered one differ for as long as nothing else changes. Change: only a document that is the same byte for byte keeps its version.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	.venv/bin/python -m pollenroad.schema docs/schema
 
 examples: setup
+	rm -rf examples/merrimack/rendered examples/tengerbulag/rendered
 	.venv/bin/pollenroad render examples/merrimack
 	.venv/bin/pollenroad render examples/tengerbulag
 
--- a/src/pollenroad/declarations.py
+++ b/src/pollenroad/declarations.py
@@ -21,7 +21,7 @@
 from pollenroad.problems import ROOT, Problem, errors_of, key_path, with_source
 from pollenroad.settings import Settings
 from pollenroad.shapes import TAG_KEY, convert_strictly, parse_json
-from pollenroad.templates import Parameters, Template, render, with_kept_versions
+from pollenroad.templates import Parameters, Template, encode_document, render, with_kept_versions
 
 PARAMETERS_FILE = "parameters.json"
 TEMPLATES_DIRECTORY = "templates"
@@ -108,6 +108,8 @@
     template_by_name: dict[str, Template] = field(default_factory=dict)
     published_by_key: dict[str, Document] = field(default_factory=dict)
     """Documents rendered before."""
+    canonical_by_key: dict[str, Document] = field(default_factory=dict)
+    """Those whose files hold, byte for byte, what `render` writes today."""
     problems: list[Problem] = field(default_factory=list)
 
     @property
@@ -118,7 +120,7 @@
     def documents(self) -> list[Document]:
         """Return the rendered documents of a sound workspace, unchanged ones as before."""
         rendered = list(render(self.parameters, self.template_by_name))
-        return list(with_kept_versions(rendered, self.published_by_key))
+        return list(with_kept_versions(rendered, self.canonical_by_key))
 
 
 def _load_templates(workspace: Workspace, directory: Path) -> None:
@@ -142,6 +144,17 @@
     workspace.template_by_name[template.name] = template
 
 
+def document_path(directory: Path, key: str) -> Path:
+    """Return the file of the document `key` below a directory of rendered documents."""
+    return directory / f"{key}.json"
+
+
+def is_written(document: Document, directory: Path) -> bool:
+    """Tell whether the file of a document holds, byte for byte, what `render` writes."""
+    path = document_path(directory, document.key)
+    return path.is_file() and path.read_bytes() == encode_document(document)
+
+
 def read_documents(path: Path) -> Result[dict[str, Document], list[Problem]]:
     """Read the documents at `path`, a file or a directory, by key."""
     document_by_key: dict[str, Document] = {}
@@ -165,6 +178,11 @@
     match read_documents(directory):
         case Success(document_by_key):
             workspace.published_by_key = document_by_key
+            workspace.canonical_by_key = {
+                key: document
+                for key, document in document_by_key.items()
+                if is_written(document, directory)
+            }
         case Failure(problems):
             workspace.problems += problems
 
--- a/src/pollenroad/rendering.py
+++ b/src/pollenroad/rendering.py
@@ -1,6 +1,6 @@
 """What rendering a workspace would write: which documents change, and under which version.
 
-A document whose content is unchanged keeps its version. All that change carry the version of the
+A document that is the same byte for byte keeps its version. All that change carry the version of the
 parameters, which must be above every version rendered before, since daemons refuse an older
 document, and two different documents under one version.
 """
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from pollenroad.advice import advise
-from pollenroad.declarations import Workspace
+from pollenroad.declarations import Workspace, document_path, is_written
 from pollenroad.headroom import capacity_warnings
 from pollenroad.models import Document
 from pollenroad.problems import Problem, errors_of, with_source
@@ -25,7 +25,7 @@
 
     document_by_key: dict[str, Document]
     changed_keys: tuple[str, ...]
-    """Keys whose document is new or has another content than before."""
+    """Keys whose document is new, or not the same byte for byte as before."""
     removed_keys: tuple[str, ...]
     """Keys that were rendered before and are no longer declared."""
     warnings: tuple[Problem, ...]
@@ -58,7 +58,8 @@
         return Failure(errors_of(workspace.problems))
     published_by_key = workspace.published_by_key
     document_by_key = {d.key: d for d in workspace.documents()}
-    changed = [k for k, d in document_by_key.items() if published_by_key.get(k) != d]
+    kept_by_key = workspace.canonical_by_key
+    changed = [k for k, d in document_by_key.items() if kept_by_key.get(k) != d]
     removed = [k for k in published_by_key if k not in document_by_key]
     version = workspace.parameters.version
     problems = list(_version_problems(version, published_by_key, bool(changed or removed)))
@@ -72,18 +73,13 @@
     return Success(Rendering(document_by_key, tuple(changed), tuple(removed), tuple(warnings)))
 
 
-def document_path(directory: Path, key: str) -> Path:
-    """Return the file of the document `key` below the directory of rendered documents."""
-    return directory / f"{key}.json"
-
-
 def stale_files(rendering: Rendering, directory: Path) -> list[Path]:
     """Return the files that differ from the rendering, are missing, or are left over."""
-    stale = []
-    for key, document in rendering.document_by_key.items():
-        path = document_path(directory, key)
-        if not path.is_file() or path.read_bytes() != encode_document(document):
-            stale.append(path)
+    stale = [
+        document_path(directory, key)
+        for key, document in rendering.document_by_key.items()
+        if not is_written(document, directory)
+    ]
     return stale + [document_path(directory, key) for key in rendering.removed_keys]
 
 
--- a/src/pollenroad/templates.py
+++ b/src/pollenroad/templates.py
@@ -196,7 +196,7 @@
 
     Args:
         documents: Documents fresh from `render`.
-        published_by_key: The documents rendered before.
+        published_by_key: Documents rendered before, whose bytes `encode_document` still gives.
     """
     for document in documents:
         published = published_by_key.get(document.key)
--- a/tests/test_render.py
+++ b/tests/test_render.py
@@ -77,6 +77,15 @@
         self.assertIn("$.version: documents change, and version 1 is not above 1", text)
         self.assertEqual((self.workspace / RENDERED).read_bytes(), before)
 
+    def test_other_bytes_need_another_version_since_daemons_compare_them(self):
+        self.change(RENDERED, "$.drain_s", 30)
+        self.assertEqual(run_command(render, self.workspace)[0], 1)
+        self.change(PARAMETERS, "$.version", 2)
+        self.assertEqual(run_command(render, self.workspace)[0], 0)
+        versions = {key: d.version for key, d in _documents(self.workspace).items()}
+        expected = {"merrimack": 1, "merrimack/registry": 2, "merrimack/standings": 1}
+        self.assertEqual(versions, expected)
+
     def test_a_service_that_is_dropped_loses_its_document(self):
         self.change(PARAMETERS, "$.services.registry", DELETED)
         self.assertEqual(run_command(render, self.workspace)[0], 1)
