--- a/src/pollenroad/rendering.py
+++ b/src/pollenroad/rendering.py
@@ -1,7 +1,7 @@
 """What rendering a workspace would write: which documents change, and under which version.
 
-A document that is the same byte for byte keeps its version. All that change carry the version of the
-parameters, which must be above every version rendered before, since daemons refuse an older
+A document that is the same byte for byte keeps its version. All that change carry the version of
+the parameters, which must be above every version rendered before, since daemons refuse an older
 document, and two different documents under one version.
 """
 
