--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,7 +1,6 @@
 """Tests of the sentences that explain a change, and of the warnings about capacity."""
 
 import unittest
-from collections.abc import Iterator
 
 import msgspec
 from msgspec.structs import fields, replace
@@ -10,43 +9,16 @@
 from pollenroad.headroom import capacity_warnings
 from pollenroad.models import OutOfService
 from tests.documents import make_endpoint, make_service, make_workspace
+from tests.mutations import mutations
 
 JARGON = ("idempotent", "hedge", "endpoint", "None", "True", "False", "{", "_", "()", "0.0")
 
 
-def _changed(value: object) -> object:
-    match value:
-        case bool():
-            return not value
-        case int() | float():
-            return value + 3
-        case str():
-            return value.replace("1", "9") if ":" in value else value + "-x"
-    raise AssertionError(f"no change known for {value!r}")
-
-
-def _mutations(value: object, path: str = "$") -> Iterator[tuple[str, object]]:
-    """Yield each parameter's path with a copy of `value` in which only it is changed."""
-    if isinstance(value, msgspec.Struct):
-        for field in fields(value):
-            inner = getattr(value, field.name)
-            for leaf, changed in _mutations(inner, f"{path}.{field.name}"):
-                yield leaf, replace(value, **{field.name: changed})
-    elif isinstance(value, tuple) and value:
-        for leaf, changed in _mutations(value[0], f"{path}[0]"):
-            yield leaf, (changed, *value[1:])
-        yield f"{path}-", value[1:]
-    elif isinstance(value, tuple):
-        yield f"{path}+", ("ne-east-a",) if path.endswith("failure_domains") else ("vm-1",)
-    else:
-        yield path, _changed(value)
-
-
 class CoverageTest(unittest.TestCase):
     def _check_all(self, document: msgspec.Struct) -> list[str]:
         paths = []
-        for path, changed in _mutations(document):
-            told = list(sentences(document, changed))
+        for path, plain in mutations(msgspec.to_builtins(document)):
+            told = list(sentences(document, msgspec.convert(plain, type(document))))
             with self.subTest(path=path):
                 self.assertTrue(told)
                 self.assertNotIn("no sentence yet", told[0])
@@ -58,9 +30,10 @@
         return paths
 
     def test_every_parameter_of_a_service_is_explained(self):
-        paths = self._check_all(make_service())
-        for name in msgspec.structs.fields(make_service()):
-            self.assertTrue([p for p in paths if p.startswith(f"$.{name.name}")], name.name)
+        out = OutOfService(failure_domains=("ne-east-c",), vms=("vm-1",))
+        paths = self._check_all(make_service(out_of_service=out))
+        for field in fields(make_service()):
+            self.assertTrue([p for p in paths if p.startswith(f"$.{field.name}")], field.name)
 
     def test_every_parameter_of_a_workspace_is_explained(self):
         self._check_all(make_workspace())
--- a/tests/test_render.py
+++ b/tests/test_render.py
@@ -14,6 +14,7 @@
 from pollenroad.models import Endpoint, OutOfService, ServiceDocument
 from pollenroad.templates import Overrides, Parameters, Template, apply_overrides
 from pollenroad.templates import render as render_documents
+from tests.mutations import mutations
 from tests.scratch import (
     DELETED,
     EXAMPLES,
@@ -24,8 +25,6 @@
     run_command,
 )
 
-_OTHER_TEMPLATE = {"booking": "records", "records": "booking"}
-
 
 def _documents(path: Path) -> dict:
     workspace = load_workspace(path, None, None)
@@ -168,35 +167,13 @@
         self.assertNotIn("no sentence yet", " ".join(told))
         return told
 
-    def _mutations(self, plain: object, path: str = "$"):
-        match plain:
-            case dict():
-                for key, value in plain.items():
-                    for where, changed in self._mutations(value, f"{path}.{key}"):
-                        yield where, plain | {key: changed}
-            case [first, *rest]:
-                yield path, rest
-                if isinstance(first, dict):
-                    for where, changed in self._mutations(first, f"{path}[]"):
-                        yield where, [changed, *rest]
-            case bool():
-                yield path, not plain
-            case int():
-                yield path, plain + 1
-            case float():
-                yield path, plain / 2 if 0 < plain <= 1 else plain + 1
-            case str() if path.endswith(".template"):
-                yield path, _OTHER_TEMPLATE[plain]
-            case str() if path != "$.kind":
-                yield path, plain.replace("7100", "7101") if ":" in plain else plain + "-x"
-
     def _check(self, paths: list[str], struct: type, path: str) -> None:
         for field in fields(struct):
             self.assertTrue([p for p in paths if f"{path}.{field.name}" in p], field.name)
 
     def test_every_parameter_is_told(self):
         paths = []
-        for path, plain in self._mutations(msgspec.to_builtins(self.parameters)):
+        for path, plain in mutations(msgspec.to_builtins(self.parameters)):
             with self.subTest(path=path):
                 changed = msgspec.convert(plain, type(self.parameters))
                 told = self._told(changed, self.template_by_name)
@@ -209,7 +186,7 @@
     def test_every_field_of_a_template_is_told(self):
         template = self.template_by_name["records"]
         paths = []
-        for path, plain in self._mutations(msgspec.to_builtins(template)):
+        for path, plain in mutations(msgspec.to_builtins(template)):
             if path == "$.name":
                 continue
             with self.subTest(path=path):
