Check the addresses in a daemon's settings

Cause: pollenroad check found wrong types in settings, but not a port above 65535, two of the daemon's addresses that are the same, or no platform. Change: pollenroad.checks_settings, run by check; a daemon may call it as well.

--- a/src/pollenroad/declarations.py
+++ b/src/pollenroad/declarations.py
@@ -17,6 +17,7 @@
 
 from pollenroad.checks import check_document
 from pollenroad.checks_parameters import check_parameters, check_template
+from pollenroad.checks_settings import check_settings
 from pollenroad.models import Document, ServiceDocument, WorkspaceDocument
 from pollenroad.problems import ROOT, Problem, errors_of, key_path, with_source
 from pollenroad.settings import Settings
@@ -87,6 +88,8 @@
             return check_document(declaration)
         case Template():
             return check_template(declaration)
+        case Settings():
+            return check_settings(declaration)
     return []
 
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -162,19 +162,29 @@
         settings = {
             "vm": "ne-vm-1",
             "failure_domain": "ne-east-a",
-            "service": "merrimack",
-            "sever": "127.0.0.1:8000",
+            "service": "merrimack/registry",
+            "server": "127.0.0.1:8000",
             "call_address": "127.0.1.1:7000",
             "peer_address": "127.0.1.1:7100",
             "operator_address": "127.0.1.1:7200",
             "platform": ["127.0.0.1:6000"],
         }
+        broken = {
+            "$.service": ({"service": "merrimack"}, "is refused"),
+            "$.sever": ({"sever": "127.0.0.1:8000"}, "did you mean 'server'"),
+            "$.peer_address": ({"peer_address": "127.0.1.1:7000"}, "used twice"),
+            "$.platform[0]": ({"platform": ["127.0.0.1:66000"]}, "not in 1 to 65535"),
+            "$.platform": ({"platform": []}, "no platform is named"),
+        }
         path = self.workspace / "settings.json"
         path.write_text(json.dumps(settings))
-        code, text = run_command(check, path)
-        self.assertEqual(code, 1)
-        self.assertRegex(text, r"settings.json: \$\.service: ")
-        self.assertRegex(text, r"settings.json: \$\.sever: unknown key .*did you mean 'server'")
+        self.assertEqual(run_command(check, path)[0], 0)
+        for place, (change, reason) in broken.items():
+            path.write_text(json.dumps(settings | change))
+            code, text = run_command(check, path)
+            self.assertEqual(code, 1)
+            self.assertIn(f"settings.json: {place}: ", text)
+            self.assertIn(reason, text)
 
     def test_a_missing_file_is_an_error(self):
         self.assertEqual(run_command(check, self.workspace / "none.json")[0], 1)
