Shorten the sentences of changes, and mend their grammar

Cause: all sentences printed and read once: 'One answered a request', '5 second tries', 'instead of 20 requests' after '25 requests'. Change: the unit is named once, repeats in place of second tries, never and an unknown number where 0 means that.

--- a/src/pollenroad/explain.py
+++ b/src/pollenroad/explain.py
@@ -18,14 +18,18 @@
 from pollenroad.wording import (
     connections,
     count,
+    expected_requests,
+    instead_of,
     join,
     messages,
     milliseconds,
     number,
     percent,
+    repeats,
+    repeats_of_100,
     requests,
-    second_tries,
     seconds,
+    seconds_or_never,
     sentence,
     servers,
     size,
@@ -38,46 +42,47 @@
     """How a changed value is told."""
 
     text: str
-    """Sentence with `{of}`, `{new}` and `{old}`."""
+    """Sentence with `{of}`, `{new}` and `{instead}`."""
     wording: Callable[[float], str]
     """Puts a value into words."""
     zero: str = ""
-    """Sentence for the new value 0, if that means something of its own."""
+    """Sentence with `{of}` and `{old}` for the value 0, if that means something of its own."""
 
     def tell(self, of: str, old, new) -> str:
+        before, after = self.wording(old), self.wording(new)
         text = self.zero if self.zero and not new else self.text
-        return sentence(text.format(of=of, old=self.wording(old), new=self.wording(new)))
+        instead = instead_of(before, after)
+        return sentence(text.format(of=of, old=before, new=after, instead=instead))
 
 
 _SERVICE_PHRASE_BY_FIELD = {
     "slots": _Phrase(
-        "each server of the {of} now works on at most {new} at once, instead of {old}.", requests
+        "each server of the {of} now works on at most {new} at once, {instead}.", requests
     ),
     "connections": _Phrase(
-        "each server of the {of} now holds at most {new}, instead of {old}.", connections
+        "each server of the {of} now holds at most {new}, {instead}.", connections
     ),
     "default_class": _Phrase(
-        "a request to the {of} that does not state its kind is now treated as {new}, "
-        "instead of {old}.",
+        "a request to the {of} that does not state its kind is now treated as {new}, " "{instead}.",
         str,
     ),
     "drain_s": _Phrase(
         "a server of the {of} that is to stop now has {new} to finish the requests that it has, "
-        "instead of {old}.",
+        "{instead}.",
         seconds,
         "a server of the {of} that is to stop now stops at once, instead of after at most {old}.",
     ),
     "subset_size": _Phrase(
         "each VM that passes requests on to the {of} now spreads them over at most {new}, "
-        "instead of {old}.",
+        "{instead}.",
         servers,
     ),
     "max_body_bytes": _Phrase(
-        "the {of} now takes requests with a content of at most {new}, instead of {old}.", size
+        "the {of} now takes requests with a content of at most {new}, {instead}.", size
     ),
     "peak_in_flight": _Phrase(
-        "the {of} is now expected to work on {new} at once when it is busiest, instead of {old}.",
-        requests,
+        "the {of} is now expected to work on {new} at once when it is busiest, {instead}.",
+        expected_requests,
         "it is no longer stated how many requests the {of} works on when it is busiest, "
         "which was {old}.",
     ),
@@ -85,27 +90,26 @@
 
 _COLD_START_PHRASE_BY_FIELD = {
     "bound": _Phrase(
-        "a server of the {of} that has just started now gets at most {new} at once, "
-        "instead of {old}.",
+        "a server of the {of} that has just started now gets at most {new} at once, " "{instead}.",
         requests,
     ),
     "cold_s": _Phrase(
-        "a server of the {of} that has just started is now spared for {new}, instead of {old}.",
+        "a server of the {of} that has just started is now spared for {new}, {instead}.",
         seconds,
         "a server of the {of} that has just started is no longer spared at first, "
         "which lasted {old}.",
     ),
     "ramp_s": _Phrase(
         "a server of the {of} that was spared after its start now gets more and more for {new} "
-        "until it has its full share, instead of {old}.",
+        "until it has its full share, {instead}.",
         seconds,
         "a server of the {of} that was spared after its start now gets its full share at once, "
         "instead of over {old}.",
     ),
     "idle_s": _Phrase(
         "a server of the {of} is now treated as just started after {new} without a request, "
-        "instead of {old} (0 seconds means never).",
-        seconds,
+        "{instead}.",
+        seconds_or_never,
         "a server of the {of} is no longer treated as just started after a time without requests, "
         "which was {old}.",
     ),
@@ -114,19 +118,19 @@
 _MEASURING_PHRASE_BY_FIELD = {
     "messages_per_s": _Phrase(
         "finding out how busy the servers of the {of} are may now cost {new} a second in all, "
-        "instead of {old}.",
+        "{instead}.",
         messages,
     ),
     "server_ms_per_s": _Phrase(
         "test requests that find out how busy the servers of the {of} are may now take {new} of "
-        "their time in each second, instead of {old}.",
+        "their time in each second, {instead}.",
         milliseconds,
         "no test requests are sent any more to find out how busy the servers of the {of} are; "
         "they were allowed {old} in each second.",
     ),
     "probe_cost_ms": _Phrase(
         "one test request that finds out how busy a server of the {of} is now counts as {new} of "
-        "its time, instead of {old}.",
+        "its time, {instead}.",
         milliseconds,
         "the servers of the {of} no longer offer test requests that find out how busy they are; "
         "one counted as {old} of their time.",
@@ -135,47 +139,49 @@
 
 _RETRIES_PHRASE_BY_FIELD = {
     "budget_ratio": _Phrase(
-        "for every 100 requests to the {of}, {new} are now allowed after a failure, "
-        "instead of {old}.",
-        lambda share: second_tries(float(f"{share * 100:.12g}")),
+        "for every 100 requests to the {of}, at most {new} after a failure may now be made, "
+        "{instead}.",
+        repeats_of_100,
     ),
     "hedge_ratio": _Phrase(
-        "for every 100 requests to the {of}, {new} are now allowed because an answer is late, "
-        "instead of {old}.",
-        lambda share: second_tries(float(f"{share * 100:.12g}")),
+        "for every 100 requests to the {of}, at most {new} of late ones may now be made, "
+        "{instead}.",
+        repeats_of_100,
     ),
     "min_per_s": _Phrase(
         "each VM that passes requests on to the {of} may now always make {new} a second, "
-        "instead of {old}.",
-        second_tries,
+        "{instead}.",
+        repeats,
     ),
 }
 
 _CLASS_PHRASE_BY_FIELD = {
     "worth": _Phrase(
-        "one answered {of} is now worth {new} when there is too much to do, instead of {old}.",
+        "an answer to a request {of} is now worth {new} when there is too much to do, {instead}.",
         number,
     ),
     "idempotent": _Phrase(
-        "it now does no harm to run {of} twice, so it may be tried again when no answer came.",
+        "it now does no harm to run a request {of} twice, so it may be tried again when no "
+        "answer came.",
         str,
-        "running {of} twice now does harm, so it is tried again only if it surely did not run.",
+        "running a request {of} twice now does harm, so it is tried again only if it surely did "
+        "not run.",
     ),
     "deadline_ms": _Phrase(
-        "the answer to {of} must now come within {new}, instead of {old}.", milliseconds
+        "the answer to a request {of} must now come within {new}, {instead}.", milliseconds
     ),
-    "max_attempts": _Phrase("{of} is now tried at most {new}, instead of {old}.", times),
+    "max_attempts": _Phrase("a request {of} is now tried at most {new}, {instead}.", times),
     "hedge": _Phrase(
-        "when the answer to {of} is late, a second server may now be asked as well.",
+        "when the answer to a request {of} is late, a second server may now be asked as well.",
         str,
-        "when the answer to {of} is late, no second server is asked any more.",
+        "when the answer to a request {of} is late, no second server is asked any more.",
     ),
     "guaranteed_share": _Phrase(
-        "when there is too much to do, {new} of each server is now kept for {of}, "
-        "instead of {old}.",
+        "when there is too much to do, {new} of each server is now kept for requests {of}, "
+        "{instead}.",
         percent,
-        "when there is too much to do, nothing is kept any more for {of}, which had {old} of "
-        "each server.",
+        "when there is too much to do, nothing is kept any more for requests {of}, which had "
+        "{old} of each server.",
     ),
 }
 
@@ -206,7 +212,7 @@
             summary = _class_summary(request_class)
             yield f"The {service} now takes a new kind of request, {name}: {summary}."
             continue
-        of = f"a request of the kind {name} to the {service}"
+        of = f"of the kind {name} to the {service}"
         yield from _phrase_sentences(_CLASS_PHRASE_BY_FIELD, of, old_by_name[name], request_class)
     for name in old_by_name:
         if name not in new_by_name:
--- a/src/pollenroad/explain_customers.py
+++ b/src/pollenroad/explain_customers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from pollenroad.models import CustomerLimit, WorkspaceDocument
-from pollenroad.wording import join, requests
+from pollenroad.wording import instead_of, join, requests
 
 
 def _limit(customer: CustomerLimit) -> str:
@@ -17,20 +17,20 @@
     who = f"A customer of {new.workspace} that has no limit of its own"
     if old.default_rate_per_s != new.default_rate_per_s:
         before, after = requests(old.default_rate_per_s), requests(new.default_rate_per_s)
-        yield f"{who} may now send {after} a second, instead of {before}."
+        yield f"{who} may now send {after} a second, {instead_of(before, after)}."
     if old.default_concurrency != new.default_concurrency:
         before, after = requests(old.default_concurrency), requests(new.default_concurrency)
-        yield f"{who} may now have {after} open at once, instead of {before}."
+        yield f"{who} may now have {after} open at once, {instead_of(before, after)}."
 
 
 def _limit_sentences(old: CustomerLimit, new: CustomerLimit, workspace: str) -> Iterator[str]:
     who = f"Customer {new.name} of {workspace}"
     if old.rate_per_s != new.rate_per_s:
         before, after = requests(old.rate_per_s), requests(new.rate_per_s)
-        yield f"{who} may now send {after} a second, instead of {before}."
+        yield f"{who} may now send {after} a second, {instead_of(before, after)}."
     if old.concurrency != new.concurrency:
         before, after = requests(old.concurrency), requests(new.concurrency)
-        yield f"{who} may now have {after} open at once, instead of {before}."
+        yield f"{who} may now have {after} open at once, {instead_of(before, after)}."
 
 
 def _owner_sentences(old: WorkspaceDocument, new: WorkspaceDocument) -> Iterator[str]:
--- a/src/pollenroad/wording.py
+++ b/src/pollenroad/wording.py
@@ -47,9 +47,19 @@
     return count(value, "message")
 
 
-def second_tries(value: float) -> str:
+def repeats(value: float) -> str:
     """Return a number of attempts beyond the first."""
-    return "no second tries" if value == 0 else f"{number(value)} second tries"
+    return count(value, "repeat")
+
+
+def repeats_of_100(share: float) -> str:
+    """Return the number of repeats for 100 requests, given as a share from 0 to 1."""
+    return repeats(float(f"{share * 100:.12g}"))
+
+
+def expected_requests(value: float) -> str:
+    """Return a number of requests, for which 0 means that none is stated."""
+    return requests(value) if value else "an unknown number"
 
 
 def times(value: float) -> str:
@@ -64,6 +74,11 @@
     return "0 seconds" if value == 0 else count(value, "second")
 
 
+def seconds_or_never(value: float) -> str:
+    """Return a length of time given in seconds, for which 0 means never."""
+    return seconds(value) if value else "never"
+
+
 def milliseconds(value: float) -> str:
     """Return a length of time given in milliseconds, from a second on in seconds."""
     if value >= SECOND_MS:
@@ -85,6 +100,16 @@
     return "0 bytes" if value == 0 else count(value, "byte")
 
 
+def instead_of(old: str, new: str) -> str:
+    """Return `instead of` and the old value, without a unit that the new one has just named."""
+    amount, _, unit = old.partition(" ")
+    if amount == "no":
+        return "instead of none"
+    if unit and unit == new.partition(" ")[2]:
+        return f"instead of {amount}"
+    return f"instead of {old}"
+
+
 def join(names: Sequence[str]) -> str:
     """Return names as a list in words, such as `a, b and c`."""
     if len(names) < 2:
