Guard: admit by worth, deadline and cold start, in parts that the guard composes

Cause: the guard admitted up to the stated slots, refused the rest, forgot attempt ids by count, and took a cancelled attempt off its books while the server still worked on it.

Ruled out: ordering the queue by deadline alone (the lowest worth could push out the highest); a slot freed at the cancel or the deadline (the server would get more than its bound until the connection is closed); a new pool of tokens at each guard start (the sum could pass the budget).

ColdStart gains cold_s: the bound stays for that time before the ramp begins.

--- a/src/pollenroad/boundary.py
+++ b/src/pollenroad/boundary.py
@@ -94,6 +94,23 @@
     draining: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ServerProbed:
+    """A probe of the server ended."""
+
+    succeeded: bool
+    incarnation: str = ""
+    """Incarnation that the server states, if any."""
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class VmListed:
+    """The platform's list of VMs names this VM as live or leaving."""
+
+    leaving: bool
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentInForce:
     """A newer valid document came into force."""
@@ -116,6 +133,8 @@
     | ServerAnswered
     | ServerFailed
     | ServerShed
+    | ServerProbed
+    | VmListed
     | DocumentInForce
     | StopRequested
 )
@@ -148,7 +167,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RunAtServer:
-    """Send an admitted attempt to the server beside the guard."""
+    """Send an admitted attempt to the server beside the guard.
+
+    Exactly one of `ServerAnswered`, `ServerFailed` and `ServerShed` must follow, also after
+    `CancelAtServer`: until then the attempt counts as being at the server.
+    """
 
     attempt: Attempt
     timeout_s: float
@@ -161,6 +184,13 @@
     attempt_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeServer:
+    """Probe the server beside the guard; `ServerProbed` must follow."""
+
+    timeout_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
     """Write a numbered event of the catalogue in `pollenroad.events`."""
@@ -170,7 +200,7 @@
     fields: tuple[tuple[str, object], ...] = ()
 
 
-Action = SendPeer | AnswerCall | RunAtServer | CancelAtServer | Record
+Action = SendPeer | AnswerCall | RunAtServer | CancelAtServer | ProbeServer | Record
 
 __all__ = [
     "Action",
@@ -185,12 +215,15 @@
     "Event",
     "PeerLost",
     "PeerReceived",
+    "ProbeServer",
     "Record",
     "RunAtServer",
     "SendPeer",
     "ServerAnswered",
     "ServerFailed",
+    "ServerProbed",
     "ServerShed",
     "StopRequested",
     "Tick",
+    "VmListed",
 ]
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -18,6 +18,7 @@
     CancelAtServer,
     DocumentInForce,
     Event,
+    ProbeServer,
     Record,
     RunAtServer,
     SendPeer,
@@ -113,6 +114,8 @@
                 self.upstream.run(attempt, timeout_s)
             case CancelAtServer(attempt_id):
                 self.upstream.cancel(attempt_id)
+            case ProbeServer(timeout_s):
+                self.upstream.probe(timeout_s)
             case Record(name, fields):
                 self.recent.add(name, fields)
                 log(name, **dict(fields))
--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -153,6 +153,7 @@
             retry_budget=call.retry_budget,
             depth=call.depth,
             config_version=self._document_by_key[call.service].version,
+            sent_ms=now * 1000,
         )
         return [SendPeer(endpoint.address, attempt)]
 
--- /dev/null
+++ b/src/pollenroad/guardstate.py
@@ -0,0 +1,53 @@
+"""The state of a guard, by name and in one plain sentence."""
+
+from dataclasses import dataclass
+
+from pollenroad.capacity import Capacity
+
+
+@dataclass(frozen=True, slots=True)
+class GuardView:
+    """What the state of a guard follows from."""
+
+    closed: str
+    """Reason for which the guard takes no new work, or an empty string."""
+    in_flight: int
+    slots: int
+    capacity: Capacity | None
+    """None as long as no document is in force."""
+
+    @property
+    def state(self) -> str:
+        """`out`, `draining`, `drained`, `down`, `cold` or `serving`."""
+        match self.closed:
+            case "leaving":
+                return "draining" if self.in_flight else "drained"
+            case "out-of-service" | "not-here":
+                return "out"
+        if self.capacity.is_down:
+            return "down"
+        return "cold" if self.capacity.is_cold else "serving"
+
+    def why(self, now: float) -> str:
+        """Explain the state in one plain sentence."""
+        match self.state:
+            case "out" if self.closed == "not-here":
+                return "out: no document in force names this VM as an endpoint"
+            case "out":
+                return f"out: operators took it out of service, {self.in_flight} still in flight"
+            case "draining":
+                return f"draining: takes no new work, {self.in_flight} still in flight"
+            case "drained":
+                return "drained: takes no new work, nothing in flight"
+            case "down":
+                next_s = self.capacity.hold_remaining_s(now)
+                return f"down: the server refuses all work, next trial in {next_s:.1f} s"
+            case "cold":
+                return (
+                    f"cold since {self.capacity.cold_reason}: {self._admits(now)} for another "
+                    f"{self.capacity.ramp_remaining_s():.0f} s of service"
+                )
+        return f"serving: {self._admits(now)}"
+
+    def _admits(self, now: float) -> str:
+        return f"admits {self.capacity.bound(now)} of {self.slots}"
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -69,6 +69,9 @@
     depth: int = 0
     """Calls above this one."""
     config_version: int = 0
+    sent_ms: float = 0.0
+    """Monotonic clock of the entry at sending, in milliseconds; 0 if not stated. The guard compares
+    it with other attempts of the same entry only."""
 
 
 class AttemptAnswer(Message, tag="answer"):
--- a/src/pollenroad/models.py
+++ b/src/pollenroad/models.py
@@ -46,8 +46,10 @@
 
     bound: Positive = 2
     """Requests in flight that a cold server bears."""
+    cold_s: Seconds = 5.0
+    """Time in service for which a server stays cold and gets no more than `bound`."""
     ramp_s: Seconds = 10.0
-    """Time in which the bound grows from `bound` to all slots."""
+    """Time after that in which the bound grows from `bound` to all slots."""
     idle_s: Seconds = 0.0
     """A server without a request for this long counts as cold; 0 means never."""
 
--- a/src/pollenroad/upstream.py
+++ b/src/pollenroad/upstream.py
@@ -13,11 +13,13 @@
 
 from pollenroad import headers
 from pollenroad.addresses import split_address
-from pollenroad.boundary import Event, ServerAnswered, ServerFailed, ServerShed
+from pollenroad.boundary import Event, ServerAnswered, ServerFailed, ServerProbed, ServerShed
+from pollenroad.capacity import incarnation_of
 from pollenroad.logs import log
 from pollenroad.messages import Attempt, Response
 
 CONNECT_TIMEOUT_S = 0.25
+PROBE_PATH = "/-/load"
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -58,6 +60,7 @@
         host, port = split_address(server)
         self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=256, block=True)
         self._task_by_attempt: dict[str, gevent.Greenlet] = {}
+        self._begun_attempts: set[str] = set()
 
     def run(self, attempt: Attempt, timeout_s: float) -> None:
         """Start the exchange of one attempt; its end is posted as an event."""
@@ -67,10 +70,30 @@
     def cancel(self, attempt_id: str) -> None:
         """Stop an exchange and close its connection, which the server sees as a cancellation."""
         task = self._task_by_attempt.pop(attempt_id, None)
-        if task is not None:
-            task.kill(block=False)
+        if task is None:
+            return
+        task.kill(block=False)
+        if attempt_id not in self._begun_attempts:
+            self._post(ServerFailed(attempt_id, reached=False, reason="cancelled"))
+
+    def probe(self, timeout_s: float) -> None:
+        """Start a probe of the server; its end is posted as an event."""
+        gevent.spawn(self._probe, timeout_s)
+
+    def _probe(self, timeout_s: float) -> None:
+        event = ServerProbed(succeeded=False)
+        try:
+            answer = self._pool.urlopen("GET", PROBE_PATH, timeout=timeout_s, retries=False)
+            fields = tuple(answer.headers.items())
+            incarnation = incarnation_of(Response(answer.status, fields))
+            event = ServerProbed(answer.status == 200, incarnation)
+        except (HTTPError, OSError):
+            pass
+        finally:
+            self._post(event)
 
     def _exchange(self, attempt: Attempt, timeout_s: float) -> None:
+        self._begun_attempts.add(attempt.attempt_id)
         event = ServerFailed(attempt.attempt_id, reached=True, reason="cancelled")
         try:
             event = self._outcome(attempt, timeout_s)
@@ -79,6 +102,7 @@
             event = ServerFailed(attempt.attempt_id, reached=True, reason="server-error")
         finally:
             self._task_by_attempt.pop(attempt.attempt_id, None)
+            self._begun_attempts.discard(attempt.attempt_id)
             self._post(event)
 
     def _outcome(self, attempt: Attempt, timeout_s: float) -> Event:
--- /dev/null
+++ b/tests/guards.py
@@ -0,0 +1,116 @@
+"""Documents, attempts and a driver that the tests of the guard share."""
+
+import msgspec
+
+from pollenroad.boundary import (
+    DocumentInForce,
+    PeerReceived,
+    RunAtServer,
+    SendPeer,
+    ServerAnswered,
+    Tick,
+)
+from pollenroad.guard import make_guard
+from pollenroad.messages import Attempt, AttemptAnswer, LoadReport, Request, Response
+from pollenroad.models import ColdStart, Endpoint, OutOfService, RequestClass, ServiceDocument
+
+SERVICE = "races/registry"
+NEVER_COLD = ColdStart(bound=1000, cold_s=0, ramp_s=0)
+CLASSES = (
+    RequestClass(name="bind", worth=10.0),
+    RequestClass(name="lookup", worth=1.0, idempotent=True),
+)
+
+
+def endpoint(number: int, domain: str = "a") -> Endpoint:
+    address = f"127.0.0.{number}:7100"
+    return Endpoint(name=f"r{number}", vm=f"vm{number}", failure_domain=domain, address=address)
+
+
+def document(**changes) -> ServiceDocument:
+    base = ServiceDocument(
+        workspace="races",
+        service="registry",
+        version=1,
+        slots=4,
+        connections=200,
+        classes=CLASSES,
+        default_class="lookup",
+        endpoints=(endpoint(1), endpoint(2, "b")),
+        cold_start=NEVER_COLD,
+    )
+    return msgspec.structs.replace(base, **changes)
+
+
+def out_of_service(*domains: str, version: int = 2, **changes) -> ServiceDocument:
+    out = OutOfService(failure_domains=domains)
+    return document(out_of_service=out, version=version, **changes)
+
+
+def attempt(number: int, name: str = "lookup", remaining_ms: float = 1000.0, **changes) -> Attempt:
+    base = Attempt(
+        attempt_id=f"entry-{number}",
+        request_id=f"q{number}",
+        service=SERVICE,
+        customer="club",
+        request_class=name,
+        idempotent=False,
+        remaining_ms=remaining_ms,
+        request=Request("GET", "/"),
+    )
+    return msgspec.structs.replace(base, **changes)
+
+
+class GuardDriver:
+    """A guard with a document in force, and what it has done so far."""
+
+    def __init__(self, now: float = 100.0, **changes):
+        self.guard = make_guard(SERVICE, "vm1")
+        self.now = now
+        self.actions = []
+        self.handle(DocumentInForce(document(**changes)))
+
+    def handle(self, event, now: float | None = None) -> list:
+        self.now = self.now if now is None else now
+        actions = self.guard.handle(event, self.now)
+        self.actions += actions
+        return actions
+
+    def offer(self, *attempts: Attempt, peer: str = "entry") -> list:
+        return [a for one in attempts for a in self.handle(PeerReceived(peer, one))]
+
+    def answer(self, attempt_id: str, *headers: tuple[str, str]) -> list:
+        return self.handle(ServerAnswered(attempt_id, Response(200, headers, b"ok")))
+
+    def tick_until(self, now: float) -> list:
+        """Tick at each due time up to `now`."""
+        actions = []
+        while (due := self.guard.next_due()) is not None and due <= now:
+            actions += self.handle(Tick(), max(due, self.now))
+        self.now = now
+        return actions
+
+    def serve_steadily(self, seconds: float, service_s: float, start: int, step: int = 1) -> int:
+        """Serve one request after the other for `seconds`; return the next free number."""
+        end = self.now + seconds
+        while self.now < end:
+            self.offer(attempt(start))
+            self.tick_until(self.now + service_s)
+            self.answer(f"entry-{start}")
+            start += step
+        return start
+
+
+def started(actions: list) -> list[str]:
+    return [a.attempt.attempt_id for a in actions if isinstance(a, RunAtServer)]
+
+
+def answers(actions: list) -> dict[str, tuple[str, str]]:
+    """Return verdict and reason by attempt id."""
+    messages = (a.message for a in actions if isinstance(a, SendPeer))
+    return {m.attempt_id: (m.verdict, m.reason) for m in messages if isinstance(m, AttemptAnswer)}
+
+
+def reports(actions: list) -> list[LoadReport]:
+    messages = (a.message for a in actions if isinstance(a, SendPeer))
+    return [m for m in messages if isinstance(m, LoadReport)]
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,131 @@
+"""Tests of admission: order by worth, guaranteed shares, early refusal, adaptive concurrency."""
+
+import unittest
+from collections import Counter
+
+from pollenroad.boundary import ServerShed
+from pollenroad.models import RequestClass
+from tests.guards import GuardDriver, answers, attempt, started
+
+SHARED_CLASSES = (
+    RequestClass(name="bind", worth=10.0),
+    RequestClass(name="lookup", worth=1.0, guaranteed_share=0.1),
+)
+
+
+class Simulation:
+    """A guard under steady arrivals, in front of a server with one service time."""
+
+    def __init__(self, driver: GuardDriver, service_s: float):
+        self.driver = driver
+        self.service_s = service_s
+        self.done = Counter()
+        self.refused = Counter()
+        self._ends = []
+        self._name_by_id = {}
+
+    def run(self, seconds: float, rate_by_name: dict[str, float]) -> None:
+        driver = self.driver
+        begin = driver.now
+        arrivals = sorted(
+            (begin + (n + 0.5) / rate, name)
+            for name, rate in rate_by_name.items()
+            for n in range(int(seconds * rate))
+        )
+        for due, name in arrivals:
+            self._serve_until(due)
+            number = len(self._name_by_id)
+            self._name_by_id[f"entry-{number}"] = name
+            self._take(driver.offer(attempt(number, name)))
+
+    def _serve_until(self, now: float) -> None:
+        while self._ends and self._ends[0][0] <= now:
+            end, attempt_id = self._ends.pop(0)
+            self._take(self.driver.tick_until(end))
+            self.done[self._name_by_id[attempt_id]] += 1
+            self._take(self.driver.answer(attempt_id))
+        self._take(self.driver.tick_until(now))
+
+    def _take(self, actions: list) -> None:
+        now = self.driver.now
+        self._ends += [(now + self.service_s, one) for one in started(actions)]
+        for attempt_id, (verdict, _) in answers(actions).items():
+            self.refused[self._name_by_id[attempt_id]] += verdict == "not-run"
+
+
+class WorthTest(unittest.TestCase):
+    def test_the_highest_worth_that_waits_starts_first(self):
+        driver = GuardDriver(slots=1)
+        driver.offer(attempt(1), attempt(2), attempt(3, "bind"))
+        self.assertEqual(started(driver.answer("entry-1")), ["entry-3"])
+
+    def test_equal_worth_starts_in_order_of_arrival(self):
+        classes = (RequestClass(name="a"), RequestClass(name="b"))
+        driver = GuardDriver(slots=1, classes=classes)
+        driver.offer(attempt(1, "a"))
+        for number, name in ((2, "b"), (3, "a")):
+            driver.tick_until(driver.now + 0.001)
+            driver.offer(attempt(number, name))
+        self.assertEqual(started(driver.answer("entry-1")), ["entry-2"])
+
+    def test_overload_refuses_the_lowest_worth_and_keeps_every_slot_busy(self):
+        simulation = Simulation(GuardDriver(slots=4), service_s=0.1)
+        simulation.run(20.0, {"bind": 30.0, "lookup": 90.0})
+        self.assertEqual(simulation.refused["bind"], 0)
+        self.assertGreaterEqual(sum(simulation.done.values()), 0.97 * 20 * 40)
+
+    def test_a_guaranteed_share_is_kept_under_overload_by_higher_worth(self):
+        simulation = Simulation(GuardDriver(slots=4, classes=SHARED_CLASSES), service_s=0.1)
+        simulation.run(20.0, {"bind": 80.0, "lookup": 40.0})
+        share = simulation.done["lookup"] / sum(simulation.done.values())
+        self.assertGreater(share, 0.08)
+        self.assertLess(share, 0.14)
+
+
+class EarlyRefusalTest(unittest.TestCase):
+    def test_what_cannot_start_in_time_is_refused_at_once_with_a_time_to_retry(self):
+        driver = GuardDriver(slots=1)
+        driver.serve_steadily(2.0, 0.1, 1000)
+        driver.offer(*map(attempt, range(5)))
+        refused = [one for one in driver.actions if "overloaded" in repr(one)]
+        self.assertEqual(driver.guard.queued, 2)
+        self.assertGreaterEqual(refused[-1].message.retry_after_ms, 100.0)
+
+    def test_a_higher_worth_takes_the_place_of_a_lower_one(self):
+        driver = GuardDriver(slots=1)
+        driver.serve_steadily(2.0, 0.1, 1000)
+        driver.offer(attempt(1), attempt(2), attempt(3))
+        actions = driver.offer(attempt(4, "bind"))
+        self.assertEqual(answers(actions), {"entry-3": ("not-run", "overloaded")})
+
+    def test_what_waits_is_refused_when_it_can_no_longer_start_in_time(self):
+        driver = GuardDriver(slots=1)
+        driver.offer(attempt(1, remaining_ms=5000), attempt(2, remaining_ms=1000))
+        actions = driver.tick_until(driver.now + 0.25)
+        self.assertEqual(answers(actions), {"entry-2": ("not-run", "overloaded")})
+
+
+class AdaptiveBoundTest(unittest.TestCase):
+    def test_a_refusal_by_the_server_lowers_the_bound_to_what_it_bore(self):
+        driver = GuardDriver(slots=8)
+        driver.offer(*map(attempt, range(6)))
+        driver.handle(ServerShed("entry-5"))
+        self.assertEqual(driver.guard.bound, 5)
+
+    def test_the_bound_recovers_while_it_is_in_use(self):
+        driver = GuardDriver(slots=8)
+        driver.offer(*map(attempt, range(9000, 9006)))
+        driver.handle(ServerShed("entry-9005"))
+        for number in range(9000, 9005):
+            driver.answer(f"entry-{number}")
+        simulation = Simulation(driver, 0.1)
+        simulation.run(10.0, {"lookup": 120.0})
+        self.assertEqual(driver.guard.bound, 8)
+
+    def test_a_rising_service_time_lowers_the_bound_to_half_of_the_slots_at_the_least(self):
+        driver = GuardDriver(slots=8)
+        simulation = Simulation(driver, 0.1)
+        simulation.run(5.0, {"lookup": 120.0})
+        simulation.service_s = 0.2
+        simulation.run(10.0, {"lookup": 120.0})
+        self.assertEqual(driver.guard.bound, 4)
