--- /dev/null
+++ b/src/pollenroad/bench/outcomes.py
@@ -0,0 +1,76 @@
+"""What a run came to: the callers' records joined with the servers' ledgers."""
+
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+
+from pollenroad.bench.fleet import Fleet, Node
+from pollenroad.bench.load import CallMix, CallRecord, Generator, LoadPlan
+from pollenroad.models import RequestClass, ServiceDocument
+
+OK = 200
+
+
+def start_generators(
+    fleet: Fleet, folder: Path, mixes: Iterable[CallMix], seconds: float, count: int, seed: int
+) -> list[Generator]:
+    """Start `count` generator processes that share the load evenly over all entries.
+
+    Args:
+        fleet: The running fleet; each of its daemons is an entry.
+        folder: Where plans and records are kept.
+        mixes: The whole load.
+        seconds: Length of the load, in seconds.
+        count: Number of processes.
+        seed: Seed of the arrivals.
+    """
+    from msgspec.structs import replace
+
+    entries = tuple(node.call_address for node in fleet.nodes)
+    parts = tuple(replace(mix, rate_per_s=mix.rate_per_s / count) for mix in mixes)
+    plans = (
+        LoadPlan(entries=entries, mixes=parts, seconds=seconds, seed=seed * 100 + number)
+        for number in range(count)
+    )
+    return [Generator(plan, folder) for plan in plans]
+
+
+def split_rate(document: ServiceDocument, rate_per_s: float, share_by_class: dict) -> list[CallMix]:
+    """Return the load of one service: `rate_per_s`, divided over its classes."""
+    return [
+        CallMix(service=document.key, request_class=name, rate_per_s=rate_per_s * share)
+        for name, share in share_by_class.items()
+    ]
+
+
+def served_worth(records: Iterable[CallRecord], worth_by_class: dict[str, float]) -> float:
+    """Return the worth of the calls that got their whole answer."""
+    return sum(worth_by_class[r.request_class] for r in records if r.status == OK)
+
+
+def offered_worth(records: Iterable[CallRecord], worth_by_class: dict[str, float]) -> float:
+    """Return the worth of all calls."""
+    return sum(worth_by_class[r.request_class] for r in records)
+
+
+def worth_by_class(classes: Iterable[RequestClass]) -> dict[str, float]:
+    """Return each class's stated worth."""
+    return {request_class.name: request_class.worth for request_class in classes}
+
+
+def starts(nodes: Iterable[Node]) -> list[dict]:
+    """Return every ledger entry of the servers of `nodes`."""
+    return [entry for node in nodes for entry in node.ledger()["entries"]]
+
+
+def run_twice(entries: Iterable[dict], classes: Iterable[RequestClass]) -> int:
+    """Count the non-idempotent requests that ran more than once."""
+    once = {request_class.name for request_class in classes if not request_class.idempotent}
+    count_by_id = Counter(e["request_id"] for e in entries if e["request_class"] in once)
+    return sum(count > 1 for count in count_by_id.values())
+
+
+def refused_but_ran(records: Iterable[CallRecord], entries: Iterable[dict]) -> int:
+    """Count the calls that were answered with `not-run` although a server ran them."""
+    ran = {entry["request_id"] for entry in entries}
+    return sum(r.verdict == "not-run" and r.request_id in ran for r in records)
--- /dev/null
+++ b/src/pollenroad/bench/overload.py
@@ -0,0 +1,125 @@
+"""Overload: what is served, and of which worth, when three times the capacity is offered."""
+
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from pollenroad.bench.deployments import cooperative
+from pollenroad.bench.fleet import Fleet, FleetPlan, running_fleet
+from pollenroad.bench.load import CallRecord
+from pollenroad.bench.outcomes import (
+    OK,
+    refused_but_ran,
+    served_worth,
+    split_rate,
+    start_generators,
+    starts,
+    worth_by_class,
+)
+from pollenroad.models import ServiceDocument
+
+OVERLOAD = 3.0
+"""Offered calls as a multiple of the capacity."""
+
+SERVICE_MS = 400.0
+"""Mean service time in milliseconds: long, so that processes have time to spare."""
+
+SHARE_BY_CLASS = {"bind": 0.1, "lookup": 0.3, "browse": 0.6}
+"""Share of each class in the offered calls."""
+
+SETTLE_S = 4.0
+MEASURED_S = 16.0
+GENERATORS = 4
+MAX_AMPLIFICATION = 1.1
+MIN_RATIO = 0.95
+
+
+def _capacity_per_s(document: ServiceDocument) -> float:
+    return len(document.endpoints) * document.slots / (SERVICE_MS / 1000)
+
+
+def best_rates(document: ServiceDocument, capacity_per_s: float) -> dict[str, float]:
+    """Return the served calls a second by class that give the most worth.
+
+    Guaranteed shares come first, then the classes in order of their worth.
+    """
+    offered = {n: s * capacity_per_s * OVERLOAD for n, s in SHARE_BY_CLASS.items()}
+    served = {
+        c.name: min(offered[c.name], c.guaranteed_share * capacity_per_s) for c in document.classes
+    }
+    for one in sorted(document.classes, key=lambda c: -c.worth):
+        left = capacity_per_s - sum(served.values())
+        served[one.name] += max(0.0, min(left, offered[one.name] - served[one.name]))
+    return served
+
+
+def _load(fleet: Fleet, documents, seed: int) -> list[CallRecord]:
+    mixes = [
+        mix
+        for document in documents
+        for mix in split_rate(document, OVERLOAD * _capacity_per_s(document), SHARE_BY_CLASS)
+    ]
+    with tempfile.TemporaryDirectory() as folder:
+        seconds = SETTLE_S + MEASURED_S
+        generators = start_generators(fleet, Path(folder), mixes, seconds, GENERATORS, seed)
+        return [record for generator in generators for record in generator.records()]
+
+
+def _measured(records: list[CallRecord]) -> list[CallRecord]:
+    begin = min(record.started for record in records) + SETTLE_S
+    ends = ((r, r.started + r.latency_s) for r in records)
+    return [r for r, end in ends if begin <= end < begin + MEASURED_S]
+
+
+def run(seed: int = 1) -> dict:
+    """Offer three times the capacity of the Cooperative to real processes.
+
+    Args:
+        seed: Seed of the arrivals.
+
+    Returns:
+        The keys of the issue, the counts behind them, and whether every target holds.
+    """
+    documents = cooperative()
+    model = {"slots": 20, "queue": 200, "service_ms": SERVICE_MS}
+    plan = FleetPlan(documents, {document.key: model for document in documents})
+    with running_fleet(plan) as fleet:
+        records = _load(fleet, documents, seed)
+        entries = starts(fleet.nodes)
+    return _result(documents, records, entries, seed)
+
+
+def _result(documents, records: list[CallRecord], entries: list[dict], seed: int) -> dict:
+    worth = worth_by_class(documents[0].classes)
+    best = Counter()
+    for document in documents:
+        best.update(best_rates(document, _capacity_per_s(document)))
+    capacity = sum(map(_capacity_per_s, documents)) * MEASURED_S
+    best_worth = sum(worth[name] * rate for name, rate in best.items()) * MEASURED_S
+    measured = _measured(records)
+    served = [record for record in measured if record.status == OK]
+    goodput_ratio = len(served) / capacity
+    worth_ratio = served_worth(measured, worth) / best_worth
+    amplification = sum(record.attempts for record in records) / len(records)
+    refused = refused_but_ran(records, entries)
+    return {
+        "bench": "overload",
+        "seed": seed,
+        "goodput_ratio": round(goodput_ratio, 4),
+        "worth_ratio": round(worth_ratio, 4),
+        "retry_amplification": round(amplification, 4),
+        "refused_but_ran": refused,
+        "calls": len(records),
+        "served_per_s": {
+            name: round(count / MEASURED_S, 1)
+            for name, count in sorted(Counter(r.request_class for r in served).items())
+        },
+        "best_per_s": {name: round(rate, 1) for name, rate in sorted(best.items())},
+        "verdicts": dict(Counter(f"{r.verdict} {r.reason}".strip() for r in records)),
+        "ok": bool(
+            goodput_ratio >= MIN_RATIO
+            and worth_ratio >= MIN_RATIO
+            and amplification <= MAX_AMPLIFICATION
+            and refused == 0
+        ),
+    }
