--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -41,7 +41,8 @@
     bound: int
     """Requests in flight that the guard admits now."""
     state: str = "serving"
-    """`serving`, `cold`, `draining` or `out`."""
+    """`serving` or `cold`; in the others no new work is taken: `draining`, `drained`, `out` and
+    `down`, where the server refuses everything."""
     service_ms: float = 0.0
     """Recent median time of a request at the server, in milliseconds."""
     sequence: int = 0
