--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -171,6 +171,7 @@
             retry_budget=allowance_below(call.retry_budget, open_call.attempts),
             depth=call.depth,
             config_version=service.document.version,
+            sent_ms=now * 1000,
         )
 
     # --- Answers ---
--- a/src/pollenroad/loads.py
+++ b/src/pollenroad/loads.py
@@ -43,7 +43,7 @@
 MAX_STALL_S = 1.0
 """Longest time in seconds that an endpoint stays suspect without a new overdue attempt."""
 
-OUT_STATES = frozenset({"draining", "out"})
+OUT_STATES = frozenset({"draining", "drained", "out", "down"})
 """States of a report in which the endpoint takes no new work."""
 
 
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -41,7 +41,8 @@
     bound: int
     """Requests in flight that the guard admits now."""
     state: str = "serving"
-    """`serving`, `cold`, `draining` or `out`."""
+    """`serving` or `cold`; in the others no new work is taken: `draining`, `drained`, `out` and
+    `down`, where the server refuses everything."""
     service_ms: float = 0.0
     """Recent median time of a request at the server, in milliseconds."""
     sequence: int = 0
@@ -69,6 +70,9 @@
     depth: int = 0
     """Calls above this one."""
     config_version: int = 0
+    sent_ms: float = 0.0
+    """Monotonic clock of the entry at sending, in milliseconds; 0 if not stated. The guard compares
+    it with other attempts of the same entry only."""
 
 
 class AttemptAnswer(Message, tag="answer"):
--- a/src/pollenroad/retries.py
+++ b/src/pollenroad/retries.py
@@ -19,7 +19,9 @@
 HEDGE_BURST = 300.0
 """First attempts whose shares a full hedge budget holds: one stall makes many attempts late."""
 
-TEACHING_REASONS = frozenset({"leaving", "out-of-service", "not-here", "unreachable"})
+TEACHING_REASONS = frozenset(
+    {"leaving", "out-of-service", "not-here", "server-down", "unreachable"}
+)
 """Refusals after which the entry shuns the endpoint: they are rare, and retried free of charge."""
 
 
