--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -28,6 +28,7 @@
 from pollenroad.exceptions import PlatformError
 from pollenroad.guard import make_guard
 from pollenroad.http import Calls, make_call_app, make_call_server
+from pollenroad.limit_owner import make_limit_owner
 from pollenroad.logs import LOGGER, log
 from pollenroad.models import Document
 from pollenroad.operator_http import make_operator_server
@@ -59,6 +60,8 @@
         rng = random.Random(self.incarnation)
         self.entry = make_entry(self.incarnation, settings.failure_domain, rng)
         self.guard = make_guard(settings.service, settings.vm)
+        self.limit_owner = make_limit_owner(settings.peer_address, time.monotonic())
+        self._cores = (self.entry, self.guard, self.limit_owner)
         self.calls = Calls(self.post)
         self.upstream = Upstream(settings.server, self.post)
         self.peers = Peers(self._identity(), self.post, self._is_member)
@@ -99,7 +102,7 @@
 
     def _handle(self, event: Event) -> None:
         now = time.monotonic()
-        for core in (self.entry, self.guard):
+        for core in self._cores:
             for action in core.handle(event, now):
                 self._perform(action)
 
@@ -123,7 +126,7 @@
             self._timer_wake.set()
 
     def _next_due(self) -> float:
-        dues = (core.next_due() for core in (self.entry, self.guard))
+        dues = (core.next_due() for core in self._cores)
         return min((due for due in dues if due is not None), default=float("inf"))
 
     def _run_timer(self) -> None:
--- /dev/null
+++ b/src/pollenroad/limit_owner.py
@@ -0,0 +1,264 @@
+"""The owner core: hands out the shares of customers' limits that this daemon owns.
+
+An owner keeps an exact token bucket for each share in use and counts the permits that each entry
+holds. It serves waiting requests in their order. Nothing is stored: a restarted owner begins
+without tokens, learns from the entries' next requests which permits are in use, and hands out
+only few permits until every lease of its predecessor has expired. No I/O: see
+`pollenroad.boundary`.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from pollenroad.boundary import Action, DocumentInForce, Event, PeerReceived, SendPeer, Tick
+from pollenroad.limit_shares import (
+    PERMIT_LEASE_S,
+    STANDBY_RATIO,
+    TokenBucket,
+    choose_owners,
+    limit_of,
+    owner_candidates,
+    share_burst,
+    share_concurrency,
+    standby_burst,
+)
+from pollenroad.messages import LimitGrant, LimitRequest, LimitReturn
+from pollenroad.models import ServiceDocument, WorkspaceDocument
+
+SERVE_GAP_S = 0.05
+"""Shortest time between two rounds that serve waiting requests, in seconds."""
+
+WARM_UP_RATIO = 0.2
+"""Part of its permits that an owner hands out during its first lease time."""
+
+IDLE_S = 10.0
+"""A share that nobody asked for in this time is forgotten, in seconds."""
+
+ShareKey = tuple[str, str, int]
+"""Workspace, customer and index of a share."""
+
+
+@dataclass(slots=True)
+class _Permits:
+    level: int
+    expires: float
+
+
+@dataclass(slots=True)
+class _Pending:
+    peer: str
+    request: LimitRequest
+    received: float
+    due: float
+
+
+@dataclass(slots=True)
+class _Share:
+    bucket: TokenBucket
+    capacity: int
+    last_used: float
+    last_served: float = float("-inf")
+    permits_by_peer: dict[str, _Permits] = field(default_factory=dict)
+    pending: deque[_Pending] = field(default_factory=deque)
+    contended_until: float = float("-inf")
+
+
+class LimitOwner:
+    """The shares of customers' limits that one daemon hands out."""
+
+    def __init__(self, address: str, now: float):
+        self._address = address
+        self._started = now
+        self._workspace_by_name: dict[str, WorkspaceDocument] = {}
+        self._service_by_key: dict[str, ServiceDocument] = {}
+        self._candidates_by_workspace: dict[str, dict[str, str]] = {}
+        self._share_by_key: dict[ShareKey, _Share] = {}
+        self._waiting_keys: set[ShareKey] = set()
+        self._next_sweep = now + IDLE_S
+
+    def next_due(self) -> float | None:
+        """Return when `Tick` is next needed, in monotonic seconds."""
+        dues = [_serve_due(self._share_by_key[key]) for key in self._waiting_keys]
+        if self._share_by_key:
+            dues.append(self._next_sweep)
+        return min(dues, default=None)
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what is to be done."""
+        match event:
+            case PeerReceived(peer, LimitRequest() as request):
+                return self._on_request(peer, request, now)
+            case PeerReceived(peer, LimitReturn() as returned):
+                self._on_return(peer, returned, now)
+            case DocumentInForce(document):
+                self._on_document(document, now)
+            case Tick():
+                return self._on_tick(now)
+        return []
+
+    # --- Configuration ---
+
+    def _on_document(self, document, now: float) -> None:
+        match document:
+            case WorkspaceDocument():
+                self._workspace_by_name[document.workspace] = document
+            case ServiceDocument():
+                self._service_by_key[document.key] = document
+        workspace = self._workspace_by_name.get(document.workspace)
+        if workspace is None:
+            return
+        services = self._service_by_key.values()
+        self._candidates_by_workspace[document.workspace] = owner_candidates(workspace, services)
+        for key in [key for key in self._share_by_key if key[0] == document.workspace]:
+            self._resize(key, now)
+
+    def _resize(self, key: ShareKey, now: float) -> None:
+        share = self._share_by_key[key]
+        fresh = self._make_share(key, now)
+        if fresh is None:
+            if not share.pending:
+                del self._share_by_key[key]
+            return
+        share.bucket.refill(now)
+        fresh.bucket.tokens = min(fresh.bucket.burst, share.bucket.tokens)
+        share.bucket = fresh.bucket
+        share.capacity = fresh.capacity
+
+    def _make_share(self, key: ShareKey, now: float) -> _Share | None:
+        """Return a new share for `key`, or None if this daemon hands out no part of it."""
+        workspace, customer, index = key
+        document = self._workspace_by_name.get(workspace)
+        if document is None:
+            return None
+        limit = limit_of(document, customer)
+        owners = choose_owners(workspace, limit, self._candidates_by_workspace[workspace])
+        if index >= len(owners) or self._address not in (
+            owners[index].primary,
+            owners[index].standby,
+        ):
+            return None
+        rate = limit.rate_per_s / len(owners)
+        capacity = share_concurrency(limit, len(owners), index)
+        burst = share_burst(rate)
+        if owners[index].primary != self._address:
+            rate *= STANDBY_RATIO
+            burst = standby_burst(rate)
+            capacity = int(capacity * STANDBY_RATIO) or 1
+        # A share unused since the start has accrued tokens since then, and no more.
+        bucket = TokenBucket(rate, burst, 0.0, self._started)
+        bucket.refill(now)
+        return _Share(bucket, capacity, now)
+
+    # --- Requests ---
+
+    def _on_request(self, peer: str, request: LimitRequest, now: float) -> list[Action]:
+        key = (request.workspace, request.customer, request.share)
+        share = self._share_by_key.get(key) or self._make_share(key, now)
+        if share is None:
+            return [SendPeer(peer, _grant(request, refusal="not-owner"))]
+        self._share_by_key[key] = share
+        share.last_used = now
+        share.bucket.refill(now)
+        pending = _Pending(peer, request, now, now + request.wait_ms / 1000)
+        must_wait = bool(share.pending) or not share.bucket.has_token()
+        if request.tokens and request.wait_ms and must_wait:
+            share.pending.append(pending)
+            self._waiting_keys.add(key)
+            return []
+        return [self._serve(share, pending, now)]
+
+    def _on_return(self, peer: str, returned: LimitReturn, now: float) -> None:
+        share = self._share_by_key.get((returned.workspace, returned.customer, returned.share))
+        if share is None:
+            return
+        held = share.permits_by_peer.get(peer)
+        if held is not None:
+            held.level = min(held.level, returned.permits)
+
+    def _serve(self, share: _Share, pending: _Pending, now: float) -> SendPeer:
+        request = pending.request
+        tokens = share.bucket.take(request.tokens)
+        spare = int(share.bucket.tokens - share.bucket.burst / 2)
+        if tokens == request.tokens and not share.pending:
+            tokens += share.bucket.take(min(request.tokens_ahead, spare))
+        permits = self._give_permits(share, pending.peer, request, now)
+        retry_at = share.bucket.time_of(1 + len(share.pending))
+        grant = _grant(
+            request,
+            tokens=tokens,
+            permits=permits,
+            contended=now < share.contended_until,
+            retry_after_ms=round(max(0.0, retry_at - now) * 1000, 1),
+            waited_ms=round((now - pending.received) * 1000, 1),
+        )
+        return SendPeer(pending.peer, grant)
+
+    def _give_permits(self, share: _Share, peer: str, request: LimitRequest, now: float) -> int:
+        held = share.permits_by_peer
+        for other in [p for p, h in held.items() if h.expires <= now]:
+            del held[other]
+        free = self._capacity(share, now) - sum(h.level for p, h in held.items() if p != peer)
+        level = min(request.permits, max(0, free))
+        if level < request.permits:
+            share.contended_until = now + PERMIT_LEASE_S
+        spare = free - level - share.capacity // 2
+        level += max(0, min(request.permits_ahead, spare))
+        # Running calls keep their permits, also with an owner that has just started.
+        level = max(level, request.in_use)
+        held[peer] = _Permits(level, now + PERMIT_LEASE_S)
+        if not level:
+            del held[peer]
+        return level
+
+    def _capacity(self, share: _Share, now: float) -> int:
+        if now - self._started < PERMIT_LEASE_S:
+            return int(share.capacity * WARM_UP_RATIO) or 1
+        return share.capacity
+
+    # --- Time ---
+
+    def _on_tick(self, now: float) -> list[Action]:
+        actions = []
+        for key in sorted(self._waiting_keys):
+            share = self._share_by_key[key]
+            if _serve_due(share) <= now:
+                actions += self._serve_pending(share, now)
+            if not share.pending:
+                self._waiting_keys.discard(key)
+        if now >= self._next_sweep:
+            self._sweep(now)
+        return actions
+
+    def _serve_pending(self, share: _Share, now: float) -> list[Action]:
+        share.last_served = now
+        share.bucket.refill(now)
+        actions = []
+        while share.pending:
+            if not share.bucket.has_token() and share.pending[0].due > now:
+                break
+            actions.append(self._serve(share, share.pending.popleft(), now))
+        return actions
+
+    def _sweep(self, now: float) -> None:
+        self._next_sweep = now + IDLE_S
+        for key, share in list(self._share_by_key.items()):
+            share.bucket.refill(now)
+            full = share.bucket.tokens >= share.bucket.burst
+            if full and not share.pending and share.last_used + IDLE_S <= now:
+                del self._share_by_key[key]
+
+
+def _serve_due(share: _Share) -> float:
+    token_at = max(share.bucket.time_of(1), share.last_served + SERVE_GAP_S)
+    return min(token_at, share.pending[0].due)
+
+
+def _grant(request: LimitRequest, **fields) -> LimitGrant:
+    return LimitGrant(
+        request.workspace, request.customer, request.share, request.sequence, **fields
+    )
+
+
+def make_limit_owner(address: str, now: float) -> LimitOwner:
+    """Make the owner core of the daemon with peer address `address`, started at `now`."""
+    return LimitOwner(address, now)
--- /dev/null
+++ b/src/pollenroad/limits.py
@@ -0,0 +1,371 @@
+"""The entry's side of limits per customer: asks owners for leases and spends them on calls.
+
+For each customer in use, an entry holds tokens (for the rate) and permits (for the concurrency)
+that the owners of the customer's limit have leased to it; see `pollenroad.limit_owner`. With
+steady traffic it asks ahead, so that a call finds its token in hand. A call that finds none waits
+a short time for a grant and is refused otherwise. No I/O: see `pollenroad.boundary`.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from pollenroad.boundary import SendPeer
+from pollenroad.limit_lease import CustomerLease, ShareLease
+from pollenroad.limit_shares import (
+    PERMIT_LEASE_S,
+    choose_owners,
+    limit_of,
+    owner_candidates,
+)
+from pollenroad.messages import LimitGrant, LimitRequest, LimitReturn
+from pollenroad.models import CustomerLimit, Document, ServiceDocument, WorkspaceDocument
+from pollenroad.timers import Timers
+
+WAIT_S = 0.1
+"""Longest time that a call waits for a grant, in seconds."""
+
+GRANT_TRAVEL_S = 0.005
+"""Time by which an owner's last chance to grant precedes the end of the wait, in seconds."""
+
+HORIZON_S = 0.1
+"""Expected traffic that an entry asks for ahead, in seconds."""
+
+LOW_WATER = 0.5
+"""Part of the expected traffic that, when left, triggers the next request."""
+
+ASK_GAP_S = 0.02
+"""Shortest time between two requests for one customer, in seconds."""
+
+REPLY_TIMEOUT_S = WAIT_S + 0.05
+"""Time after which an owner without an answer counts as unreachable, in seconds."""
+
+SUSPECT_S = 0.5
+"""Time for which an unreachable owner is passed over, in seconds."""
+
+SETTLE_S = 0.1
+"""Time after the last call of a customer until unused permits are returned, in seconds."""
+
+IDLE_S = 10.0
+"""A customer without a call for this time is forgotten, in seconds."""
+
+MAX_CUSTOMERS = 5_000
+"""Customers that an entry holds state of; calls of further ones are refused."""
+
+LeaseKey = tuple[str, str]
+"""Workspace and customer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a call was refused, for its caller."""
+
+    call_id: str
+    reason: str
+    """`limit-rate` or `limit-concurrency`."""
+    detail: str
+    retry_after_ms: float
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a step of the limits leads to."""
+
+    admitted: list[str] = field(default_factory=list)
+    """Calls that may go on now."""
+    refused: list[Refusal] = field(default_factory=list)
+    actions: list[SendPeer] = field(default_factory=list)
+
+
+class Limits:
+    """Leases of one entry, by customer."""
+
+    def __init__(self):
+        self._workspace_by_name: dict[str, WorkspaceDocument] = {}
+        self._service_by_key: dict[str, ServiceDocument] = {}
+        self._candidates_by_workspace: dict[str, dict[str, str]] = {}
+        self._lease_by_key: dict[LeaseKey, CustomerLease] = {}
+        self._share_by_call: dict[str, tuple[CustomerLease, ShareLease | None]] = {}
+        self._timers = Timers()
+        self._sequence = 0
+
+    def next_due(self) -> float | None:
+        """Return when `tick` is next needed, in monotonic seconds."""
+        return self._timers.next_due()
+
+    # --- Configuration ---
+
+    def configure(self, document: Document, now: float) -> None:
+        """Take a newer document; leases of shares that keep their owner are kept."""
+        match document:
+            case WorkspaceDocument():
+                self._workspace_by_name[document.workspace] = document
+            case ServiceDocument():
+                self._service_by_key[document.key] = document
+        workspace = self._workspace_by_name.get(document.workspace)
+        if workspace is None:
+            return
+        services = self._service_by_key.values()
+        self._candidates_by_workspace[document.workspace] = owner_candidates(workspace, services)
+        for key, lease in self._lease_by_key.items():
+            if key[0] == document.workspace:
+                limit = limit_of(workspace, key[1])
+                lease.configure(limit, self._owners(workspace, limit))
+
+    def _owners(self, workspace: WorkspaceDocument, limit: CustomerLimit) -> tuple:
+        candidates = self._candidates_by_workspace[workspace.workspace]
+        return choose_owners(workspace.workspace, limit, candidates)
+
+    def _lease(self, document: WorkspaceDocument, customer: str, now: float) -> CustomerLease:
+        key = (document.workspace, customer)
+        lease = self._lease_by_key.get(key)
+        if lease is None:
+            limit = limit_of(document, customer)
+            lease = CustomerLease(document.workspace, limit, now)
+            lease.configure(limit, self._owners(document, limit))
+            self._lease_by_key[key] = lease
+            self._timers.set(("idle", key), now + IDLE_S)
+        return lease
+
+    # --- Calls ---
+
+    def ask(
+        self, call_id: str, workspace: str, customer: str, deadline: float, now: float
+    ) -> Outcome:
+        """Ask whether a call may go on: at once, after a short wait, or not.
+
+        Args:
+            call_id: The call; `ended` must follow for each one that is admitted or waits.
+            workspace: Its workspace; one without a document has no limits.
+            customer: Its customer.
+            deadline: When the caller stops waiting, in monotonic seconds.
+            now: Monotonic time in seconds.
+        """
+        document = self._workspace_by_name.get(workspace)
+        if document is None:
+            return Outcome(admitted=[call_id])
+        known = (workspace, customer) in self._lease_by_key
+        if not known and len(self._lease_by_key) >= MAX_CUSTOMERS:
+            return Outcome(refused=[_too_many_customers(call_id)])
+        lease = self._lease(document, customer, now)
+        lease.count_call(now)
+        outcome = Outcome()
+        if not lease.waiting and self._admit(lease, call_id, now):
+            outcome.admitted.append(call_id)
+        elif len(lease.waiting) >= lease.waiting_bound(WAIT_S):
+            outcome.refused.append(_refusal(lease, call_id, now))
+        else:
+            self._share_by_call[call_id] = (lease, None)
+            lease.waiting.append(call_id)
+            lease.wait_until = min(deadline, now + WAIT_S)
+            self._timers.set(("wait", call_id), lease.wait_until)
+        self._replenish(lease, outcome, now)
+        return outcome
+
+    def ended(self, call_id: str, now: float) -> Outcome:
+        """Take back the permit of a call that ended, or stop its wait."""
+        outcome = Outcome()
+        lease, share = self._share_by_call.pop(call_id, (None, None))
+        if lease is None:
+            return outcome
+        if share is None:
+            self._timers.cancel(("wait", call_id))
+            lease.waiting.remove(call_id)
+            return outcome
+        share.used -= 1
+        if lease.waiting:
+            self._serve_waiting(lease, outcome, now)
+        elif not lease.in_use():
+            delay = 0.0 if share.contended else SETTLE_S
+            self._timers.set(("settle", lease.key), now + delay)
+        return outcome
+
+    def _admit(self, lease: CustomerLease, call_id: str, now: float) -> bool:
+        share = lease.take(now)
+        if share is None:
+            return False
+        self._share_by_call[call_id] = (lease, share)
+        return True
+
+    def _serve_waiting(self, lease: CustomerLease, outcome: Outcome, now: float) -> None:
+        while lease.waiting and self._admit(lease, lease.waiting[0], now):
+            call_id = lease.waiting.popleft()
+            self._timers.cancel(("wait", call_id))
+            outcome.admitted.append(call_id)
+
+    # --- Leases ---
+
+    def _replenish(self, lease: CustomerLease, outcome: Outcome, now: float) -> None:
+        """Ask an owner for what waits and for what is expected, if it is time."""
+        expected = lease.rate_per_s(now) * HORIZON_S
+        ahead = 0
+        if lease.tokens(now) + lease.asked(now) < expected * LOW_WATER:
+            ahead = int(expected - lease.tokens(now))
+        short_permits = lease.free_permits(now) < min(1, ahead)
+        firm = max(0, len(lease.waiting) - lease.asked(now))
+        if not (firm or ahead or short_permits):
+            return
+        if now < lease.last_asked + ASK_GAP_S:
+            if lease.waiting:
+                self._timers.set(("ask", lease.key), lease.last_asked + ASK_GAP_S)
+            return
+        share = lease.next_share(now)
+        if share is not None:
+            firm_tokens = max(0, firm - lease.tokens(now))
+            self._ask(lease, share, firm_tokens, firm, ahead, outcome, now)
+        if lease.waiting:
+            self._timers.set(("ask", lease.key), now + ASK_GAP_S)
+
+    def _ask(
+        self,
+        lease: CustomerLease,
+        share: ShareLease,
+        tokens: int,
+        permits: int,
+        ahead: int,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        self._sequence += 1
+        wait_s = max(0.0, lease.wait_until - now - GRANT_TRAVEL_S)
+        request = LimitRequest(
+            workspace=lease.workspace,
+            customer=lease.limit.name,
+            share=share.index,
+            sequence=self._sequence,
+            tokens=tokens,
+            tokens_ahead=ahead,
+            in_use=share.used,
+            permits=share.used + permits,
+            permits_ahead=ahead,
+            wait_ms=round(wait_s * 1000, 1) if tokens else 0.0,
+        )
+        peer = share.target(now)
+        share.asked(self._sequence, peer, tokens, now)
+        # Permits beyond the request are given up at the moment of asking.
+        share.permits = min(share.permits, share.used + permits + ahead)
+        lease.last_asked = now
+        self._timers.set(("reply", lease.key, share.index), now + REPLY_TIMEOUT_S)
+        outcome.actions.append(SendPeer(peer, request))
+
+    def on_grant(self, grant: LimitGrant, now: float) -> Outcome:
+        """Take a grant; one that answers no open request is dropped."""
+        outcome = Outcome()
+        lease = self._lease_by_key.get((grant.workspace, grant.customer))
+        share = lease.share_at(grant.share) if lease else None
+        if share is None or share.open_sequence != grant.sequence:
+            return outcome
+        timer_key = (lease.key, share.index)
+        self._timers.cancel(("reply", *timer_key))
+        if grant.refusal:
+            share.suspect(now + SUSPECT_S)
+            self._replenish(lease, outcome, now)
+            return outcome
+        share.granted(grant, now)
+        if grant.permits:
+            self._timers.set(("renew", *timer_key), share.asked_at + PERMIT_LEASE_S / 2)
+        self._serve_waiting(lease, outcome, now)
+        if lease.waiting:
+            self._replenish(lease, outcome, now)
+        return outcome
+
+    def peer_lost(self, peer: str, now: float) -> Outcome:
+        """Pass over the owner at `peer` for a while, and ask others at once."""
+        outcome = Outcome()
+        for lease in list(self._lease_by_key.values()):
+            lost = [s for s in lease.shares if s.open_sequence and s.asked_peer == peer]
+            for share in lost:
+                share.suspect(now + SUSPECT_S)
+            if lost and lease.waiting:
+                self._replenish(lease, outcome, now)
+        return outcome
+
+    # --- Time ---
+
+    def tick(self, now: float) -> Outcome:
+        """Do what is due at `now`."""
+        outcome = Outcome()
+        for kind, *rest in list(self._timers.pop_due(now)):
+            self._on_due(kind, rest, outcome, now)
+        return outcome
+
+    def _on_due(self, kind: str, rest: list, outcome: Outcome, now: float) -> None:
+        if kind == "wait":
+            self._give_up(rest[0], outcome, now)
+            return
+        lease = self._lease_by_key.get(rest[0])
+        if lease is None:
+            return
+        match kind:
+            case "ask":
+                self._serve_waiting(lease, outcome, now)
+                if lease.waiting:
+                    self._replenish(lease, outcome, now)
+            case "settle":
+                if not lease.in_use() and not lease.waiting:
+                    self._return_permits(lease, outcome, now)
+            case "idle":
+                self._forget_idle(lease, now)
+            case _:
+                share = lease.share_at(rest[1])
+                if share is not None:
+                    self._on_share_due(kind, lease, share, outcome, now)
+
+    def _on_share_due(
+        self, kind: str, lease: CustomerLease, share: ShareLease, outcome: Outcome, now: float
+    ) -> None:
+        match kind:
+            case "reply":
+                share.suspect(now + SUSPECT_S)
+                if lease.waiting:
+                    self._replenish(lease, outcome, now)
+            case "renew":
+                if share.used and not share.open_sequence:
+                    self._ask(lease, share, 0, 0, 0, outcome, now)
+
+    def _give_up(self, call_id: str, outcome: Outcome, now: float) -> None:
+        lease, _ = self._share_by_call.pop(call_id)
+        lease.waiting.remove(call_id)
+        outcome.refused.append(_refusal(lease, call_id, now))
+
+    def _return_permits(self, lease: CustomerLease, outcome: Outcome, now: float) -> None:
+        for share in lease.shares:
+            if share.give_up_unused(now):
+                returned = LimitReturn(
+                    lease.workspace, lease.limit.name, share.index, share.permits
+                )
+                outcome.actions.append(SendPeer(share.asked_peer, returned))
+
+    def _forget_idle(self, lease: CustomerLease, now: float) -> None:
+        idle_since = now - IDLE_S
+        if lease.last_call <= idle_since and not lease.in_use() and not lease.waiting:
+            del self._lease_by_key[lease.key]
+        else:
+            self._timers.set(("idle", lease.key), now + IDLE_S)
+
+
+def _too_many_customers(call_id: str) -> Refusal:
+    detail = f"This entry already serves {MAX_CUSTOMERS} customers; come back in {IDLE_S:g} s."
+    return Refusal(call_id, "limit-rate", detail, IDLE_S * 1000)
+
+
+def _refusal(lease: CustomerLease, call_id: str, now: float) -> Refusal:
+    limit = lease.limit
+    whose = f"customer {limit.name} in workspace {lease.workspace}"
+    if lease.tokens(now) and not lease.free_permits(now):
+        detail = (
+            f"The limit of {limit.concurrency} requests in flight of {whose} is reached; "
+            f"come back when one has ended, at the soonest in {WAIT_S:g} s."
+        )
+        return Refusal(call_id, "limit-concurrency", detail, WAIT_S * 1000)
+    retry_after_s = lease.retry_after_s(now)
+    cause = "is reached" if lease.reachable(now) else "cannot be checked, as its owners are silent"
+    detail = (
+        f"The limit of {limit.rate_per_s:g} requests a second of {whose} {cause}; "
+        f"come back in {math.ceil(retry_after_s * 1000) / 1000:g} s."
+    )
+    return Refusal(call_id, "limit-rate", detail, round(retry_after_s * 1000, 1))
+
+
+def make_limits() -> Limits:
+    """Make the limits of one entry; until a workspace's document comes, it has none."""
+    return Limits()
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -27,6 +27,7 @@
     Attempt,
     AttemptAnswer,
     Hello,
+    LimitGrant,
     LoadReport,
     PeerMessage,
 )
@@ -173,7 +174,7 @@
 
     def _link_for(self, peer: str, message: PeerMessage) -> _Link | None:
         match message:
-            case AttemptAnswer() | LoadReport():
+            case AttemptAnswer() | LoadReport() | LimitGrant():
                 return self._accepted_by_peer.get(peer) or self._dialled_by_peer.get(peer)
             case _:
                 return self._dialled_by_peer.get(peer)
