Ask customers' limits before the first attempt of a call

Cause: the leases existed, but no call asked for one. Change: the entry follows the outcomes of the limits after each event; a call without a token waits at most 0.1 s and is refused with the limit, the allowed figure and when to come back. An owner that was passed over is tried without a call depending on it.

--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from collections import deque
 from collections.abc import Iterator
 
 from pollenroad.boundary import (
@@ -20,7 +21,8 @@
     Tick,
 )
 from pollenroad.calls import OpenAttempt, OpenCall, answered_record, ended_record, sent_record
-from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport
+from pollenroad.limits import Outcome, make_limits
+from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LimitGrant, LoadReport
 from pollenroad.models import ServiceDocument, WorkspaceDocument
 from pollenroad.retries import TEACHING_REASONS, allowance_below
 from pollenroad.routing import LeastTime, Policy, RouterPlace, make_router
@@ -49,6 +51,8 @@
         self._call_by_id: dict[str, OpenCall] = {}
         self._attempt_by_id: dict[str, OpenAttempt] = {}
         self._timers = Timers()
+        self._limits = make_limits()
+        self._outcomes: deque[Outcome] = deque()
         self._attempt_count = 0
 
     @property
@@ -58,11 +62,12 @@
 
     def next_due(self) -> float | None:
         """Return when `Tick` is next needed, in monotonic seconds."""
-        return self._timers.next_due()
+        dues = (self._timers.next_due(), self._limits.next_due())
+        return min((due for due in dues if due is not None), default=None)
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event and return what is to be done."""
-        return list(self._actions(event, now))
+        return [*self._actions(event, now), *self._follow_limits(now)]
 
     def _actions(self, event: Event, now: float) -> Iterator[Action]:
         match event:
@@ -72,6 +77,8 @@
                 yield from self._abandon(call_id, now)
             case PeerReceived(_, AttemptAnswer() as answer):
                 yield from self._on_answer(answer, now)
+            case PeerReceived(_, LimitGrant() as grant):
+                self._outcomes.append(self._limits.on_grant(grant, now))
             case PeerReceived(_, LoadReport() as report):
                 self._learn(report, now)
             case AttemptUnsent(attempt_id):
@@ -86,6 +93,7 @@
     # --- Configuration and load ---
 
     def _on_document(self, document, now: float) -> None:
+        self._limits.configure(document, now)
         match document:
             case ServiceDocument():
                 self._document_by_key[document.key] = document
@@ -127,6 +135,34 @@
         open_call = OpenCall(call, request_class, now, now + limit_ms / 1000)
         self._call_by_id[call.call_id] = open_call
         self._timers.set(("deadline", call.call_id), open_call.deadline)
+        workspace = service.document.workspace
+        self._outcomes.append(
+            self._limits.ask(call.call_id, workspace, call.customer, open_call.deadline, now)
+        )
+
+    def _follow_limits(self, now: float) -> Iterator[Action]:
+        """Go on with the calls that the customers' limits let through, and refuse others."""
+        while self._outcomes:
+            outcome = self._outcomes.popleft()
+            yield from outcome.actions
+            for call_id in outcome.admitted:
+                if call_id in self._call_by_id:
+                    yield from self._send_first_attempt(self._call_by_id[call_id], now)
+            for refusal in outcome.refused:
+                open_call = self._call_by_id.get(refusal.call_id)
+                if open_call is None:
+                    continue
+                yield from self._finish(
+                    open_call,
+                    Verdict.NOT_RUN,
+                    refusal.reason,
+                    now,
+                    retry_after_ms=refusal.retry_after_ms,
+                    detail=refusal.detail,
+                )
+
+    def _send_first_attempt(self, open_call: OpenCall, now: float) -> Iterator[Action]:
+        service = self._service_by_key[open_call.call.service]
         service.retry_budget.first_attempt()
         service.hedge_budget.first_attempt()
         yield from self._send_attempt(open_call, "first", now)
@@ -261,6 +297,7 @@
         response=None,
         endpoint: str = "",
         retry_after_ms: float = 0.0,
+        detail: str = "",
     ) -> Iterator[Action]:
         call_id = open_call.call.call_id
         if verdict is Verdict.NOT_RUN and open_call.maybe_ran:
@@ -268,12 +305,13 @@
         yield from self._close(open_call, now)
         yield answered_record(open_call, verdict, reason, endpoint, now)
         yield AnswerCall(
-            call_id, verdict, reason, response, open_call.attempts, endpoint, retry_after_ms
+            call_id, verdict, reason, response, open_call.attempts, endpoint, retry_after_ms, detail
         )
 
     def _close(self, open_call: OpenCall, now: float) -> Iterator[Action]:
         call_id = open_call.call.call_id
         del self._call_by_id[call_id]
+        self._outcomes.append(self._limits.ended(call_id, now))
         self._timers.cancel(("deadline", call_id))
         self._timers.cancel(("hedge", call_id))
         router = self._service_by_key[open_call.call.service].router
@@ -293,6 +331,7 @@
         yield from self._end_without_answer(attempt_id, Verdict.NOT_RUN, "unreachable", now)
 
     def _on_peer_lost(self, peer: str, now: float) -> Iterator[Action]:
+        self._outcomes.append(self._limits.peer_lost(peer, now))
         lost = [a.attempt_id for a in self._attempt_by_id.values() if a.endpoint.address == peer]
         for attempt_id in lost:
             yield from self._end_without_answer(attempt_id, Verdict.UNKNOWN, "peer-lost", now)
@@ -310,6 +349,7 @@
             self._timers.set(("hedge", open_call.call.call_id), due)
 
     def _on_tick(self, now: float) -> Iterator[Action]:
+        self._outcomes.append(self._limits.tick(now))
         for kind, call_id in self._timers.pop_due(now):
             open_call = self._call_by_id[call_id]
             if kind == "hedge":
--- a/src/pollenroad/limit_lease.py
+++ b/src/pollenroad/limit_lease.py
@@ -13,6 +13,9 @@
 HEDGE_S = 0.06
 """Age of an open request after which another owner is asked for the same, in seconds."""
 
+QUICK_HEDGE_S = 0.02
+"""The same where the owner's last grant came without a wait, in seconds."""
+
 MIN_WAITING = 2
 """Calls that may wait for a grant however small the limit."""
 
@@ -38,6 +41,7 @@
         self._permits_expire = NEVER
         self._batches: deque[list] = deque()
         self._retry_at = NEVER
+        self._waited = False
         self._suspect_until_by_peer: dict[str, float] = {}
 
     # --- Asking ---
@@ -49,6 +53,10 @@
                 return peer
         return ""
 
+    def is_on_trial(self, now: float) -> bool:
+        """Tell whether the peer to ask next has not answered since it was passed over."""
+        return self.target(now) in self._suspect_until_by_peer
+
     def asked(self, sequence: int, peer: str, tokens: int, now: float) -> None:
         """Note an open request."""
         self.open_sequence = sequence
@@ -61,6 +69,12 @@
         self._suspect_until_by_peer[self.asked_peer] = until
         self.open_sequence = 0
 
+    def likely_tokens(self, now: float) -> int:
+        """Return the tokens of the open request, if an answer is still likely to come soon."""
+        hedge_s = HEDGE_S if self._waited else QUICK_HEDGE_S
+        in_time = self.open_sequence and now < self.asked_at + hedge_s
+        return self.asked_tokens if in_time else 0
+
     def granted(self, grant: LimitGrant, now: float) -> None:
         """Take the answer to the open request."""
         self.open_sequence = 0
@@ -68,6 +82,7 @@
         self.contended = grant.contended
         self.permits = grant.permits
         self._permits_expire = self.asked_at + PERMIT_LEASE_S
+        self._waited = grant.waited_ms > 0
         self._retry_at = now + grant.retry_after_ms / 1000
         if grant.tokens:
             expires = self.asked_at + grant.waited_ms / 1000 + LEASE_S
@@ -152,11 +167,7 @@
 
     def asked(self, now: float) -> int:
         """Return the tokens asked for in requests that are still likely to be answered soon."""
-        return sum(
-            share.asked_tokens
-            for share in self.shares
-            if share.open_sequence and now < share.asked_at + HEDGE_S
-        )
+        return sum(share.likely_tokens(now) for share in self.shares)
 
     def next_share(self, now: float) -> ShareLease | None:
         """Return the next share, in turn, without an open request and with a reachable owner."""
@@ -192,6 +203,12 @@
         with_permit.used += 1
         return with_permit
 
+    def lacks_permits(self, now: float) -> bool:
+        """Tell whether permits are what is missing, rather than tokens."""
+        if self.free_permits(now) or not any(share.contended for share in self.shares):
+            return False
+        return self.tokens(now) > 0 or min(share.retry_at() for share in self.shares) <= now
+
     def reachable(self, now: float) -> bool:
         """Tell whether an owner of any share is reachable."""
         return any(share.target(now) for share in self.shares)
--- a/src/pollenroad/limit_shares.py
+++ b/src/pollenroad/limit_shares.py
@@ -119,7 +119,7 @@
 
     A token granted up to one lease before the window may be used in it, and a share's burst may
     fall into it. This is at most 1.5 times the limit from 10 requests a second upwards, and at
-    most two calls more than that below.
+    most three calls more than that below.
     """
     rate = limit.rate_per_s / shares
     standby_rate = rate * STANDBY_RATIO
--- a/src/pollenroad/limits.py
+++ b/src/pollenroad/limits.py
@@ -6,11 +6,9 @@
 a short time for a grant and is refused otherwise. No I/O: see `pollenroad.boundary`.
 """
 
-import math
-from dataclasses import dataclass, field
-
 from pollenroad.boundary import SendPeer
 from pollenroad.limit_lease import CustomerLease, ShareLease
+from pollenroad.limit_refusals import Outcome, refuse_call, refuse_customer
 from pollenroad.limit_shares import (
     PERMIT_LEASE_S,
     choose_owners,
@@ -39,6 +37,9 @@
 REPLY_TIMEOUT_S = WAIT_S + 0.05
 """Time after which an owner without an answer counts as unreachable, in seconds."""
 
+TRIAL_TIMEOUT_S = 0.05
+"""The same for an owner that has been passed over before, in seconds."""
+
 SUSPECT_S = 0.5
 """Time for which an unreachable owner is passed over, in seconds."""
 
@@ -55,27 +56,6 @@
 """Workspace and customer."""
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a call was refused, for its caller."""
-
-    call_id: str
-    reason: str
-    """`limit-rate` or `limit-concurrency`."""
-    detail: str
-    retry_after_ms: float
-
-
-@dataclass(slots=True)
-class Outcome:
-    """What a step of the limits leads to."""
-
-    admitted: list[str] = field(default_factory=list)
-    """Calls that may go on now."""
-    refused: list[Refusal] = field(default_factory=list)
-    actions: list[SendPeer] = field(default_factory=list)
-
-
 class Limits:
     """Leases of one entry, by customer."""
 
@@ -145,14 +125,14 @@
             return Outcome(admitted=[call_id])
         known = (workspace, customer) in self._lease_by_key
         if not known and len(self._lease_by_key) >= MAX_CUSTOMERS:
-            return Outcome(refused=[_too_many_customers(call_id)])
+            return Outcome(refused=[refuse_customer(call_id, MAX_CUSTOMERS, IDLE_S)])
         lease = self._lease(document, customer, now)
         lease.count_call(now)
         outcome = Outcome()
         if not lease.waiting and self._admit(lease, call_id, now):
             outcome.admitted.append(call_id)
         elif len(lease.waiting) >= lease.waiting_bound(WAIT_S):
-            outcome.refused.append(_refusal(lease, call_id, now))
+            outcome.refused.append(refuse_call(lease, call_id, WAIT_S, now))
         else:
             self._share_by_call[call_id] = (lease, None)
             lease.waiting.append(call_id)
@@ -209,6 +189,9 @@
                 self._timers.set(("ask", lease.key), lease.last_asked + ASK_GAP_S)
             return
         share = lease.next_share(now)
+        if share is not None and share.is_on_trial(now):
+            self._ask(lease, share, 0, 0, 1, outcome, now)
+            share = lease.next_share(now)
         if share is not None:
             firm_tokens = max(0, firm - lease.tokens(now))
             self._ask(lease, share, firm_tokens, firm, ahead, outcome, now)
@@ -239,12 +222,13 @@
             permits_ahead=ahead,
             wait_ms=round(wait_s * 1000, 1) if tokens else 0.0,
         )
-        peer = share.target(now)
+        peer, on_trial = share.target(now), share.is_on_trial(now)
         share.asked(self._sequence, peer, tokens, now)
         # Permits beyond the request are given up at the moment of asking.
         share.permits = min(share.permits, share.used + permits + ahead)
         lease.last_asked = now
-        self._timers.set(("reply", lease.key, share.index), now + REPLY_TIMEOUT_S)
+        timeout_s = TRIAL_TIMEOUT_S if on_trial else REPLY_TIMEOUT_S
+        self._timers.set(("reply", lease.key, share.index), now + timeout_s)
         outcome.actions.append(SendPeer(peer, request))
 
     def on_grant(self, grant: LimitGrant, now: float) -> Outcome:
@@ -325,7 +309,7 @@
     def _give_up(self, call_id: str, outcome: Outcome, now: float) -> None:
         lease, _ = self._share_by_call.pop(call_id)
         lease.waiting.remove(call_id)
-        outcome.refused.append(_refusal(lease, call_id, now))
+        outcome.refused.append(refuse_call(lease, call_id, WAIT_S, now))
 
     def _return_permits(self, lease: CustomerLease, outcome: Outcome, now: float) -> None:
         for share in lease.shares:
@@ -343,29 +327,6 @@
             self._timers.set(("idle", lease.key), now + IDLE_S)
 
 
-def _too_many_customers(call_id: str) -> Refusal:
-    detail = f"This entry already serves {MAX_CUSTOMERS} customers; come back in {IDLE_S:g} s."
-    return Refusal(call_id, "limit-rate", detail, IDLE_S * 1000)
-
-
-def _refusal(lease: CustomerLease, call_id: str, now: float) -> Refusal:
-    limit = lease.limit
-    whose = f"customer {limit.name} in workspace {lease.workspace}"
-    if lease.tokens(now) and not lease.free_permits(now):
-        detail = (
-            f"The limit of {limit.concurrency} requests in flight of {whose} is reached; "
-            f"come back when one has ended, at the soonest in {WAIT_S:g} s."
-        )
-        return Refusal(call_id, "limit-concurrency", detail, WAIT_S * 1000)
-    retry_after_s = lease.retry_after_s(now)
-    cause = "is reached" if lease.reachable(now) else "cannot be checked, as its owners are silent"
-    detail = (
-        f"The limit of {limit.rate_per_s:g} requests a second of {whose} {cause}; "
-        f"come back in {math.ceil(retry_after_s * 1000) / 1000:g} s."
-    )
-    return Refusal(call_id, "limit-rate", detail, round(retry_after_s * 1000, 1))
-
-
 def make_limits() -> Limits:
     """Make the limits of one entry; until a workspace's document comes, it has none."""
     return Limits()
