Measure limits on real processes and cut waits of customers below their limit

Change: bench limits; a switch, off by default, that makes a daemon drop messages to named peers; an entry asks the owner that is likely to have tokens and waits at one only if none has; a crowd of waiting calls asks less often. Conclusion: to be measured again on real processes.

--- a/src/pollenroad/bench/limits_compare.py
+++ b/src/pollenroad/bench/limits_compare.py
@@ -83,6 +83,9 @@
         self._calls = itertools.count()
         self._customer_by_call: dict[str, str] = {}
         self.hold_s = HOLD_S
+        self.waits: list[float] = []
+        """Time from the call to its admission, in seconds."""
+        self._asked_by_call: dict[str, float] = {}
         self.in_flight = Counter()
         self.peak = Counter()
         self.configure(document)
@@ -108,6 +111,7 @@
         call_id = f"{entry}-{next(self._calls)}"
         self._customer_by_call[call_id] = customer
         now = self._world.now
+        self._asked_by_call[call_id] = now
         outcome = self._limits_by_entry[entry].ask(call_id, WORKSPACE, customer, now + 1.0, now)
         self._apply(entry, outcome)
 
@@ -116,11 +120,13 @@
         for call_id in outcome.admitted:
             customer = self._customer_by_call[call_id]
             self._world.admitted.append((now, customer))
+            self.waits.append(now - self._asked_by_call.pop(call_id))
             self.in_flight[customer] += 1
             self.peak[customer] = max(self.peak[customer], self.in_flight[customer])
             self._world.at(now + self.hold_s, lambda c=call_id: self._end(entry, c))
         for refusal in outcome.refused:
             customer = self._customer_by_call.pop(refusal.call_id)
+            del self._asked_by_call[refusal.call_id]
             self._world.refused.append((now, customer, refusal))
         for action in outcome.actions:
             self._world.send(entry, action.peer, lambda a=action: self._at_owner(entry, a))
--- a/src/pollenroad/bench/load.py
+++ b/src/pollenroad/bench/load.py
@@ -40,6 +40,8 @@
     direct: bool = False
     """Call servers without the product between, for comparisons."""
     timeout_s: float = 10.0
+    even: bool = False
+    """Arrivals evenly spaced with jitter instead of Poisson, so that their number is exact."""
 
 
 class CallRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,7 +73,10 @@
     offset = 0.0
     count = 0
     while True:
-        offset += rng.expovariate(total)
+        if plan.even:
+            offset = (count + rng.random()) / total
+        else:
+            offset += rng.expovariate(total)
         if offset >= plan.seconds:
             return
         count += 1
--- a/src/pollenroad/limit_lease.py
+++ b/src/pollenroad/limit_lease.py
@@ -14,9 +14,12 @@
 """Age of an open request after which another owner is asked for the same, in seconds."""
 
 QUICK_HEDGE_S = 0.02
-"""The same where the owner's last grant came without a wait, in seconds."""
+"""The same where the owner was likely to have tokens, in seconds."""
 
-MIN_WAITING = 2
+CROWD = 2
+"""Waiting calls above which more are waiting than an owner is likely to have tokens for."""
+
+MIN_WAITING = 4
 """Calls that may wait for a grant however small the limit."""
 
 NEVER = float("-inf")
@@ -41,7 +44,6 @@
         self._permits_expire = NEVER
         self._batches: deque[list] = deque()
         self._retry_at = NEVER
-        self._waited = False
         self._suspect_until_by_peer: dict[str, float] = {}
 
     # --- Asking ---
@@ -71,7 +73,7 @@
 
     def likely_tokens(self, now: float) -> int:
         """Return the tokens of the open request, if an answer is still likely to come soon."""
-        hedge_s = HEDGE_S if self._waited else QUICK_HEDGE_S
+        hedge_s = QUICK_HEDGE_S if self._retry_at <= self.asked_at else HEDGE_S
         in_time = self.open_sequence and now < self.asked_at + hedge_s
         return self.asked_tokens if in_time else 0
 
@@ -82,7 +84,6 @@
         self.contended = grant.contended
         self.permits = grant.permits
         self._permits_expire = self.asked_at + PERMIT_LEASE_S
-        self._waited = grant.waited_ms > 0
         self._retry_at = now + grant.retry_after_ms / 1000
         if grant.tokens:
             expires = self.asked_at + grant.waited_ms / 1000 + LEASE_S
@@ -133,7 +134,6 @@
         """Calls that wait for a grant, in their order."""
         self.wait_until = NEVER
         """When the last of them gives up."""
-        self.last_asked = NEVER
         self.last_call = now
         self._next_index = 0
         self._rate = 0.0
@@ -169,15 +169,39 @@
         """Return the tokens asked for in requests that are still likely to be answered soon."""
         return sum(share.likely_tokens(now) for share in self.shares)
 
-    def next_share(self, now: float) -> ShareLease | None:
-        """Return the next share, in turn, without an open request and with a reachable owner."""
-        for step in range(len(self.shares)):
-            index = (self._next_index + step) % len(self.shares)
-            share = self.shares[index]
-            if not share.open_sequence and share.target(now):
-                self._next_index = index + 1
-                return share
-        return None
+    def next_share(self, asked_before: float, now: float) -> ShareLease | None:
+        """Return the share to ask next.
+
+        Args:
+            asked_before: Shares asked after this time are left out.
+            now: Monotonic time in seconds.
+
+        Returns:
+            One without an open request and with a reachable owner; the next in turn that is
+            likely to have tokens, or else the one that will have them first.
+        """
+        count = len(self.shares)
+        in_turn = (self.shares[(self._next_index + step) % count] for step in range(count))
+        usable = [
+            share
+            for share in in_turn
+            if not share.open_sequence and share.asked_at <= asked_before and share.target(now)
+        ]
+        if not usable:
+            return None
+        chosen = min(usable, key=lambda share: max(now, share.retry_at()))
+        self._next_index = chosen.index + 1
+        return chosen
+
+    def has_plenty_elsewhere(self, share: ShareLease, now: float) -> bool:
+        """Tell whether a share other than `share` can be asked and is likely to have tokens."""
+        return any(
+            other is not share
+            and not other.open_sequence
+            and other.retry_at() <= now
+            and other.target(now)
+            for other in self.shares
+        )
 
     # --- Supply ---
 
@@ -205,9 +229,10 @@
 
     def lacks_permits(self, now: float) -> bool:
         """Tell whether permits are what is missing, rather than tokens."""
-        if self.free_permits(now) or not any(share.contended for share in self.shares):
-            return False
-        return self.tokens(now) > 0 or min(share.retry_at() for share in self.shares) <= now
+        if self.tokens(now):
+            return not self.free_permits(now)
+        contended = [share for share in self.shares if share.contended]
+        return any(share.retry_at() <= now for share in contended)
 
     def reachable(self, now: float) -> bool:
         """Tell whether an owner of any share is reachable."""
--- a/src/pollenroad/limits.py
+++ b/src/pollenroad/limits.py
@@ -6,8 +6,10 @@
 a short time for a grant and is refused otherwise. No I/O: see `pollenroad.boundary`.
 """
 
+from dataclasses import dataclass
+
 from pollenroad.boundary import SendPeer
-from pollenroad.limit_lease import CustomerLease, ShareLease
+from pollenroad.limit_lease import CROWD, CustomerLease, ShareLease
 from pollenroad.limit_refusals import Outcome, refuse_call, refuse_customer
 from pollenroad.limit_shares import (
     PERMIT_LEASE_S,
@@ -32,7 +34,10 @@
 """Part of the expected traffic that, when left, triggers the next request."""
 
 ASK_GAP_S = 0.02
-"""Shortest time between two requests for one customer, in seconds."""
+"""Shortest time between two requests for one share, in seconds."""
+
+CROWDED_GAP_S = 0.05
+"""The same while a crowd of calls waits, in seconds."""
 
 REPLY_TIMEOUT_S = WAIT_S + 0.05
 """Time after which an owner without an answer counts as unreachable, in seconds."""
@@ -56,6 +61,18 @@
 """Workspace and customer."""
 
 
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What an entry asks an owner for."""
+
+    calls: int = 0
+    """Calls that wait, each of which needs a permit."""
+    tokens: int = 0
+    """Tokens that they need."""
+    ahead: int = 0
+    """Calls that are expected."""
+
+
 class Limits:
     """Leases of one entry, by customer."""
 
@@ -154,6 +171,7 @@
         share.used -= 1
         if lease.waiting:
             self._serve_waiting(lease, outcome, now)
+            self._replenish(lease, outcome, now)
         elif not lease.in_use():
             delay = 0.0 if share.contended else SETTLE_S
             self._timers.set(("settle", lease.key), now + delay)
@@ -175,58 +193,56 @@
     # --- Leases ---
 
     def _replenish(self, lease: CustomerLease, outcome: Outcome, now: float) -> None:
-        """Ask an owner for what waits and for what is expected, if it is time."""
-        expected = lease.rate_per_s(now) * HORIZON_S
-        ahead = 0
-        if lease.tokens(now) + lease.asked(now) < expected * LOW_WATER:
-            ahead = int(expected - lease.tokens(now))
-        short_permits = lease.free_permits(now) < min(1, ahead)
-        firm = max(0, len(lease.waiting) - lease.asked(now))
-        if not (firm or ahead or short_permits):
-            return
-        if now < lease.last_asked + ASK_GAP_S:
-            if lease.waiting:
-                self._timers.set(("ask", lease.key), lease.last_asked + ASK_GAP_S)
-            return
-        share = lease.next_share(now)
+        """Ask owners for what waits and for what is expected, if it is time."""
+        gap_s = ASK_GAP_S if len(lease.waiting) <= CROWD else CROWDED_GAP_S
+        share = lease.next_share(now - gap_s, now)
         if share is not None and share.is_on_trial(now):
-            self._ask(lease, share, 0, 0, 1, outcome, now)
-            share = lease.next_share(now)
-        if share is not None:
-            firm_tokens = max(0, firm - lease.tokens(now))
-            self._ask(lease, share, firm_tokens, firm, ahead, outcome, now)
+            self._ask(lease, share, Demand(ahead=1), outcome, now)
+            share = lease.next_share(now - gap_s, now)
+        demand = self._demand(lease, now)
+        if share is not None and demand != Demand():
+            self._ask(lease, share, demand, outcome, now)
         if lease.waiting:
-            self._timers.set(("ask", lease.key), now + ASK_GAP_S)
+            self._timers.set(("ask", lease.key), now + gap_s)
+
+    def _demand(self, lease: CustomerLease, now: float) -> Demand:
+        tokens, asked = lease.tokens(now), lease.asked(now)
+        expected = lease.rate_per_s(now) * HORIZON_S
+        ahead = 0
+        if tokens + asked < expected * LOW_WATER:
+            ahead = round(expected - tokens)
+        calls = max(0, len(lease.waiting) - asked)
+        return Demand(calls, max(0, calls - tokens), ahead)
 
     def _ask(
         self,
         lease: CustomerLease,
         share: ShareLease,
-        tokens: int,
-        permits: int,
-        ahead: int,
+        demand: Demand,
         outcome: Outcome,
         now: float,
     ) -> None:
         self._sequence += 1
-        wait_s = max(0.0, lease.wait_until - now - GRANT_TRAVEL_S)
+        # With a short queue, another owner that has tokens is better than a wait at this one.
+        hurried = len(lease.waiting) <= CROWD and lease.has_plenty_elsewhere(share, now)
+        may_wait = demand.tokens and not hurried
+        wait_s = max(0.0, lease.wait_until - now - GRANT_TRAVEL_S) if may_wait else 0.0
         request = LimitRequest(
             workspace=lease.workspace,
             customer=lease.limit.name,
             share=share.index,
             sequence=self._sequence,
-            tokens=tokens,
-            tokens_ahead=ahead,
+            tokens=demand.tokens,
+            tokens_ahead=demand.ahead,
             in_use=share.used,
-            permits=share.used + permits,
-            permits_ahead=ahead,
-            wait_ms=round(wait_s * 1000, 1) if tokens else 0.0,
+            permits=share.used + demand.calls,
+            permits_ahead=demand.ahead,
+            wait_ms=round(wait_s * 1000, 1),
         )
         peer, on_trial = share.target(now), share.is_on_trial(now)
-        share.asked(self._sequence, peer, tokens, now)
+        share.asked(self._sequence, peer, demand.tokens, now)
         # Permits beyond the request are given up at the moment of asking.
-        share.permits = min(share.permits, share.used + permits + ahead)
-        lease.last_asked = now
+        share.permits = min(share.permits, share.used + demand.calls + demand.ahead)
         timeout_s = TRIAL_TIMEOUT_S if on_trial else REPLY_TIMEOUT_S
         self._timers.set(("reply", lease.key, share.index), now + timeout_s)
         outcome.actions.append(SendPeer(peer, request))
@@ -304,7 +320,7 @@
                     self._replenish(lease, outcome, now)
             case "renew":
                 if share.used and not share.open_sequence:
-                    self._ask(lease, share, 0, 0, 0, outcome, now)
+                    self._ask(lease, share, Demand(), outcome, now)
 
     def _give_up(self, call_id: str, outcome: Outcome, now: float) -> None:
         lease, _ = self._share_by_call.pop(call_id)
--- a/src/pollenroad/operator_http.py
+++ b/src/pollenroad/operator_http.py
@@ -38,6 +38,13 @@
     def status():
         return _status(daemon)
 
+    @app.put("/cuts")
+    def cuts():
+        if not daemon.settings.allow_cuts:
+            raise bottle.HTTPError(403, "the settings do not allow cuts")
+        daemon.peers.cut_peers = frozenset(bottle.request.json)
+        return {}
+
     @app.get("/recent/<request_id>")
     def recent(request_id: str):
         records = daemon.recent.of_request(request_id)
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -146,6 +146,8 @@
         self._dialled_by_peer: dict[str, _Link] = {}
         self._accepted_by_peer: dict[str, _Link] = {}
         self._pending_by_peer: dict[str, list[PeerMessage]] = {}
+        self.cut_peers: frozenset[str] = frozenset()
+        """Peers to which nothing is sent, for trying a partition."""
         self._server = StreamServer(split_address(identity.address), self._accept, backlog=1024)
 
     def start(self) -> None:
@@ -160,6 +162,8 @@
 
     def send(self, peer: str, message: PeerMessage) -> None:
         """Send one message; never blocks."""
+        if peer in self.cut_peers:
+            return
         if peer == self._identity.address:
             self._post(PeerReceived(peer, message))
             return
--- a/src/pollenroad/settings.py
+++ b/src/pollenroad/settings.py
@@ -42,6 +42,8 @@
     """Events kept in memory for `pollenroad explain`."""
     stop_grace_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
     """Longest wait for requests in flight where no document states `drain_s`."""
+    allow_cuts: bool = False
+    """Whether operators may cut this daemon off from peers, to try a partition."""
     peer_key: Annotated[str, Meta(max_length=256)] = ""
     """Key that daemons share to authenticate each other; empty for none."""
 
