--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -58,7 +58,7 @@
         self._timer_wake = Flag()
         self._timer_due = float("inf")
         rng = random.Random(self.incarnation)
-        self.entry = make_entry(self.incarnation, settings.failure_domain, rng)
+        self.entry = make_entry(self.incarnation, settings.failure_domain, rng, settings.vm)
         self.guard = make_guard(settings.service, settings.vm)
         self.limit_owner = make_limit_owner(settings.peer_address, time.monotonic())
         self._cores = (self.entry, self.guard, self.limit_owner)
