--- a/src/pollenroad/bench/load.py
+++ b/src/pollenroad/bench/load.py
@@ -41,7 +41,8 @@
     seconds: float
     seed: int = 1
     poisson: bool = True
-    """Poisson arrivals; otherwise evenly spaced, the mixes taking turns."""
+    """Poisson arrivals; otherwise evenly spaced with jitter, the mixes taking turns, so that the
+    number of calls is exact."""
     timeout_s: float = 10.0
 
 
@@ -73,7 +74,10 @@
     weights = [mix.rate_per_s for mix in plan.mixes]
     offset = 0.0
     for count in itertools.count():
-        offset += rng.expovariate(total) if plan.poisson else 1 / total
+        if plan.poisson:
+            offset += rng.expovariate(total)
+        else:
+            offset = (count + rng.random()) / total
         if offset >= plan.seconds:
             return
         turn = plan.mixes[count % len(plan.mixes)]
--- a/src/pollenroad/explain.py
+++ b/src/pollenroad/explain.py
@@ -55,6 +55,14 @@
         return sentence(text.format(of=of, old=before, new=after, instead=instead))
 
 
+_ROUTING_WORDING = {
+    "least-time": "by the time that it is expected to take there",
+    "random": "by chance",
+    "round-robin": "in turn",
+    "least-in-flight": "by who has the fewest requests of the asking VM",
+    "two-choices": "as the less busy of two drawn by chance",
+}
+
 _SERVICE_PHRASE_BY_FIELD = {
     "slots": _Phrase(
         "each server of the {of} now works on at most {new} at once, {instead}.", requests
@@ -72,6 +80,10 @@
         seconds,
         "a server of the {of} that is to stop now stops at once, instead of after at most {old}.",
     ),
+    "routing": _Phrase(
+        "a server of the {of} is now chosen for a request {new}, {instead}.",
+        _ROUTING_WORDING.__getitem__,
+    ),
     "subset_size": _Phrase(
         "each VM that passes requests on to the {of} now spreads them over at most {new}, "
         "{instead}.",
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -28,6 +28,7 @@
     AttemptAnswer,
     Hello,
     Leaving,
+    LimitGrant,
     LoadReport,
     PeerMessage,
 )
@@ -176,6 +177,8 @@
         self._dialled_by_peer: dict[str, _Link] = {}
         self._accepted_by_peer: dict[str, _Link] = {}
         self._pending_by_peer: dict[str, list[PeerMessage]] = {}
+        self.cut_peers: frozenset[str] = frozenset()
+        """Peers to which nothing is sent, for trying a partition."""
         self._server = StreamServer(split_address(identity.address), self._accept, backlog=1024)
 
     def start(self) -> None:
@@ -190,6 +193,8 @@
 
     def send(self, peer: str, message: PeerMessage) -> None:
         """Send one message; never blocks."""
+        if peer in self.cut_peers:
+            return
         if peer == self._identity.address:
             self._post(PeerReceived(peer, message))
             return
@@ -204,7 +209,7 @@
 
     def _link_for(self, peer: str, message: PeerMessage) -> _Link | None:
         match message:
-            case AttemptAnswer() | LoadReport() | Leaving():
+            case AttemptAnswer() | LoadReport() | Leaving() | LimitGrant():
                 return self._accepted_by_peer.get(peer) or self._dialled_by_peer.get(peer)
             case _:
                 return self._dialled_by_peer.get(peer)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -25,5 +25,7 @@
             yield path, plain / 2 if 0 < plain <= 1 else plain + 1
         case str() if path.endswith(".template"):
             yield path, _OTHER_TEMPLATE[plain]
+        case str() if path.endswith(".routing"):
+            yield path, "two-choices" if plain == "least-time" else "least-time"
         case str() if path != "$.kind":
             yield path, plain.replace("7100", "7101") if ":" in plain else plain + "-x"
