Accept only valid and newer documents, and keep a bounded audit trail

Cause: daemons need one rule for every source of a document (platform, peer, restart). Ruled out: comparing revisions of the platform, which go backwards when a stale replica answers.

--- /dev/null
+++ b/src/pollenroad/audit.py
@@ -0,0 +1,103 @@
+"""The audit trail of one daemon: what it accepted, what it refused, and why.
+
+The trail lives in memory only, because VMs keep nothing, and is bounded. `pollenroad audit` merges
+the trails of many daemons into one time line.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+AUDIT_ENTRIES = 2_000
+"""Entries that a daemon keeps."""
+
+AUDIT_TEXT_CHARS = 400
+"""Longest sentence or reason that is kept, in characters."""
+
+SENTENCES_PER_ENTRY = 50
+"""Sentences kept of one change."""
+
+
+class AuditEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One decision of a daemon."""
+
+    wall_time_s: float
+    """Seconds since the epoch by the daemon's own clock."""
+    vm: str
+    action: str
+    """`accepted`, `refused`, `membership` or `startup`."""
+    subject: str
+    """Key of a document, or name of a VM."""
+    version: int = 0
+    source: str = ""
+    """`platform`, or the peer address that it came from."""
+    reason: str = ""
+    sentences: tuple[str, ...] = ()
+
+
+class AuditTrail:
+    """A bounded list of the newest decisions."""
+
+    def __init__(self, vm: str, limit: int = AUDIT_ENTRIES):
+        self._vm = vm
+        self._entries: deque[AuditEntry] = deque(maxlen=limit)
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def add(
+        self,
+        wall_time_s: float,
+        action: str,
+        subject: str,
+        *,
+        version: int = 0,
+        source: str = "",
+        reason: str = "",
+        sentences: Iterable[str] = (),
+    ) -> AuditEntry:
+        """Append a decision and return it; the oldest is dropped when the trail is full."""
+        entry = AuditEntry(
+            wall_time_s=wall_time_s,
+            vm=self._vm,
+            action=action,
+            subject=subject,
+            version=version,
+            source=source,
+            reason=reason[:AUDIT_TEXT_CHARS],
+            sentences=tuple(_bounded(sentences)),
+        )
+        self._entries.append(entry)
+        return entry
+
+    def entries(self) -> Iterator[AuditEntry]:
+        """Yield the decisions, oldest first."""
+        yield from tuple(self._entries)
+
+    def to_json(self) -> bytes:
+        """Return the trail as a JSON array, as the operator port serves it."""
+        return msgspec.json.encode(tuple(self._entries))
+
+
+def _bounded(sentences: Iterable[str]) -> Iterator[str]:
+    for count, sentence in enumerate(sentences):
+        if count == SENTENCES_PER_ENTRY:
+            yield "Further changes are not kept."
+            return
+        yield sentence[:AUDIT_TEXT_CHARS]
+
+
+def parse_trail(data: bytes) -> list[AuditEntry]:
+    """Decode a trail served by a daemon.
+
+    Raises:
+        msgspec.DecodeError: If it is not a trail.
+    """
+    return msgspec.json.decode(data, type=list[AuditEntry])
+
+
+def merge_trails(trails: Iterable[Iterable[AuditEntry]]) -> list[AuditEntry]:
+    """Merge trails of many daemons into one time line, oldest first."""
+    merged = [entry for trail in trails for entry in trail]
+    return sorted(merged, key=lambda entry: (entry.wall_time_s, entry.vm, entry.subject))
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -4,10 +4,19 @@
 added later needs a default, so that daemons of neighbouring versions understand each other.
 """
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 PROTOCOL_VERSION = 1
 
+ITEMS_PER_MESSAGE = 512
+"""Entries in one message about documents or VMs, at the most."""
+
+ShortText = Annotated[str, Meta(max_length=256)]
+DocumentBytes = Annotated[bytes, Meta(max_length=1_048_576)]
+
 
 class Message(msgspec.Struct, frozen=True, omit_defaults=True):
     """Base of every message on the peer link."""
@@ -110,5 +119,127 @@
     vm: str
 
 
-PeerMessage = Attempt | AttemptAnswer | CancelAttempt | LoadReport | Hello | Leaving
+class DocumentDigest(Message):
+    """Which version of a document its sender has in force."""
+
+    key: ShortText
+    version: int
+    digest: Annotated[bytes, Meta(max_length=32)]
+
+
+class VmStatus(Message):
+    """What daemons observed of a VM. The highest incarnation wins, then the gravest state."""
+
+    vm: ShortText
+    incarnation: int
+    """Grows when the VM's daemon restarts, and when it refutes that it is dead."""
+    state: ShortText
+    """`alive`, `leaving` or `dead`."""
+
+
+class VmListing(Message):
+    """What the platform's list says of a VM, where that differs from `live`."""
+
+    vm: ShortText
+    state: ShortText
+    """`live` or `leaving`."""
+    revision: int
+    """Revision of the list; the highest wins."""
+
+
+class Heartbeat(Message, tag="heartbeat"):
+    """The sender is alive; with it go marks by which daemons see that they hold the same."""
+
+    vm: ShortText
+    incarnation: int
+    failure_domain: ShortText = ""
+    documents: int = 0
+    """Fingerprint of the keys and versions in force."""
+    statuses: int = 0
+    """Fingerprint of what is known of VMs."""
+    platform_age_s: float = 1e9
+    """Seconds since any daemon, as far as the sender knows, read the platform."""
+    joining: bool = False
+    """Whether the sender still collects documents and takes no work."""
+
+
+class AskDigests(Message, tag="ask-digests"):
+    """Asks for all digests and statuses that the receiver holds."""
+
+
+class Announce(Message, tag="announce"):
+    """Documents that the sender has in force."""
+
+    digests: Annotated[tuple[DocumentDigest, ...], Meta(max_length=ITEMS_PER_MESSAGE)] = ()
+    complete: bool = False
+    """Whether this ends the answer to an `AskDigests`."""
+    joining: bool = False
+
+
+class FetchDocuments(Message, tag="fetch"):
+    """Asks for documents by key."""
+
+    keys: Annotated[tuple[ShortText, ...], Meta(max_length=ITEMS_PER_MESSAGE)]
+
+
+class DocumentCopy(Message, tag="document"):
+    """A document as the platform published it."""
+
+    key: ShortText
+    data: DocumentBytes
+
+
+class VmNews(Message, tag="vm-news"):
+    """News of VMs, passed on by each daemon that did not know it."""
+
+    statuses: Annotated[tuple[VmStatus, ...], Meta(max_length=ITEMS_PER_MESSAGE)] = ()
+    listings: Annotated[tuple[VmListing, ...], Meta(max_length=ITEMS_PER_MESSAGE)] = ()
+
+
+class Suspect(Message, tag="suspect"):
+    """The sender misses heartbeats of a VM and asks another monitor of it."""
+
+    vm: ShortText
+    incarnation: int
+
+
+class Opinion(Message, tag="opinion"):
+    """Answer of a monitor to `Suspect`."""
+
+    vm: ShortText
+    incarnation: int
+    heard_ago_s: float
+    """Time since the sender last heard the VM, in seconds."""
+    suspects: bool
+
+
+RelayMessage = (
+    Heartbeat
+    | AskDigests
+    | Announce
+    | FetchDocuments
+    | DocumentCopy
+    | VmNews
+    | Suspect
+    | Opinion
+    | Leaving
+)
+"""What `pollenroad.relay` takes from peers."""
+
+PeerMessage = (
+    Attempt
+    | AttemptAnswer
+    | CancelAttempt
+    | LoadReport
+    | Hello
+    | Leaving
+    | Heartbeat
+    | AskDigests
+    | Announce
+    | FetchDocuments
+    | DocumentCopy
+    | VmNews
+    | Suspect
+    | Opinion
+)
 """Every message that a link accepts; later modules extend this union here."""
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,114 @@
+"""Tests of acceptance: valid and newer only, whatever the source offers."""
+
+import random
+import unittest
+
+import msgspec
+
+from pollenroad.configuration import (
+    DECODED_DOCUMENTS,
+    Accepted,
+    Known,
+    Refused,
+    digest_of,
+    make_configuration,
+)
+from pollenroad.messages import DocumentDigest
+from pollenroad.models import CustomerLimit, WorkspaceDocument
+
+
+def workspace(version: int, name: str = "merrimack", rate: float = 10.0) -> bytes:
+    limit = CustomerLimit(name="club-a", rate_per_s=rate, concurrency=5)
+    document = WorkspaceDocument(workspace=name, version=version, customers=(limit,))
+    return msgspec.json.encode(document)
+
+
+class OfferTest(unittest.TestCase):
+    def setUp(self):
+        self.configuration = make_configuration()
+
+    def test_a_newer_document_comes_into_force_with_its_predecessor(self):
+        self.configuration.offer("merrimack", workspace(1))
+        outcome = self.configuration.offer("merrimack", workspace(2, rate=20.0))
+        self.assertIsInstance(outcome, Accepted)
+        self.assertEqual((outcome.previous.version, outcome.document.version), (1, 2))
+        self.assertEqual(self.configuration.data("merrimack"), workspace(2, rate=20.0))
+
+    def test_no_order_of_offers_ever_lowers_the_version(self):
+        rng = random.Random(7)
+        offers = [workspace(version) for version in range(1, 12)] * 3
+        rng.shuffle(offers)
+        versions = []
+        for data in offers:
+            self.configuration.offer("merrimack", data)
+            versions.append(self.configuration.version("merrimack"))
+        self.assertEqual(versions, sorted(versions))
+        self.assertEqual(versions[-1], 11)
+
+    def test_an_older_document_is_refused_with_both_versions_in_the_reason(self):
+        self.configuration.offer("merrimack", workspace(5))
+        outcome = self.configuration.offer("merrimack", workspace(4))
+        self.assertEqual((outcome.code, outcome.version), ("older", 4))
+        self.assertIn("version 4 is older than version 5", outcome.reason)
+
+    def test_two_contents_under_one_version_conflict_and_the_first_stays(self):
+        self.configuration.offer("merrimack", workspace(5))
+        outcome = self.configuration.offer("merrimack", workspace(5, rate=99.0))
+        self.assertEqual(outcome.code, "conflict")
+        self.assertEqual(self.configuration.data("merrimack"), workspace(5))
+
+    def test_the_same_bytes_again_change_nothing(self):
+        self.configuration.offer("merrimack", workspace(5))
+        self.assertIsInstance(self.configuration.offer("merrimack", workspace(5)), Known)
+
+    def test_invalid_documents_are_refused_and_do_not_displace(self):
+        self.configuration.offer("merrimack", workspace(1))
+        broken = {
+            "not json": b"{",
+            "unknown key": workspace(2).replace(b'"customers"', b'"costumers"'),
+            "out of bounds": workspace(2).replace(b'"concurrency":5', b'"concurrency":0'),
+            "no version": workspace(2).replace(b'"version":2,', b""),
+            "another key": workspace(2, name="tengerbulag"),
+            "too large": workspace(2) + b" " * 1_048_576,
+        }
+        for name, data in broken.items():
+            with self.subTest(name):
+                outcome = self.configuration.offer("merrimack", data)
+                self.assertIsInstance(outcome, Refused)
+                self.assertEqual(outcome.code, "invalid")
+                self.assertEqual(self.configuration.version("merrimack"), 1)
+
+    def test_the_path_within_the_document_is_named(self):
+        data = workspace(2).replace(b'"concurrency":5', b'"concurrency":0')
+        outcome = self.configuration.offer("merrimack", data)
+        self.assertIn("$.customers[0].concurrency", outcome.reason)
+
+
+class DigestTest(unittest.TestCase):
+    def test_a_digest_is_judged_like_the_document_itself(self):
+        configuration = make_configuration()
+        configuration.offer("merrimack", workspace(5))
+        same = digest_of(workspace(5))
+        judged = {
+            version: configuration.judge(DocumentDigest("merrimack", version, same))
+            for version in (4, 5, 6)
+        }
+        self.assertEqual(judged, {4: "older", 5: "same", 6: "newer"})
+        other = DocumentDigest("merrimack", 5, digest_of(workspace(5, rate=1.5)))
+        self.assertEqual(configuration.judge(other), "conflict")
+
+    def test_fingerprints_agree_only_where_versions_agree(self):
+        one, two = make_configuration(), make_configuration()
+        one.offer("merrimack", workspace(1))
+        one.offer("merrimack", workspace(3))
+        two.offer("merrimack", workspace(3))
+        self.assertEqual(one.fingerprint, two.fingerprint)
+        two.offer("merrimack", workspace(4))
+        self.assertNotEqual(one.fingerprint, two.fingerprint)
+
+    def test_documents_that_are_no_longer_decoded_are_decoded_again(self):
+        configuration = make_configuration()
+        names = [f"w{number}" for number in range(DECODED_DOCUMENTS * 2)]
+        for name in names:
+            configuration.offer(name, workspace(3, name=name))
+        self.assertEqual([configuration.document(n).workspace for n in names], names)
