--- a/src/pollenroad/boundary.py
+++ b/src/pollenroad/boundary.py
@@ -6,10 +6,11 @@
 fuzzing, trace replay and any outside harness drive them with their own clock and network.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from pollenroad.messages import Attempt, AttemptAnswer, PeerMessage, Request, Response
-from pollenroad.models import Document
+from pollenroad.models import Document, VmState
 from pollenroad.verdicts import Verdict
 
 # --- Events ---------------------------------------------------------------------------------
@@ -106,6 +107,71 @@
     """This daemon is to stop: finish what is in flight, take no new work."""
 
 
+@dataclass(frozen=True, slots=True)
+class DocumentRead:
+    """The platform answered a `ReadDocument`."""
+
+    key: str
+    data: bytes | None
+    """JSON bytes, or None where the platform does not know the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentsListed:
+    """The platform answered a `ListDocuments`."""
+
+    revision: int
+    version_by_key: Mapping[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class WatchReturned:
+    """A `WatchPlatform` ended, with or without a change."""
+
+    revision: int
+    changed: tuple[str, ...] = ()
+    """Keys of the changed documents."""
+
+
+@dataclass(frozen=True, slots=True)
+class VmsListed:
+    """The platform answered a `ListVms`; the list lags."""
+
+    revision: int
+    vms: tuple[VmState, ...]
+    size_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformFailed:
+    """The platform did not answer a request."""
+
+    request: "PlatformRequest"
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipChanged:
+    """Which VMs get no new work changed. From the relay to the entry."""
+
+    leaving: frozenset[str]
+    """Names of VMs that said, or of which the platform says, that they are leaving."""
+    dead: frozenset[str]
+    """Names of VMs that several daemons miss."""
+    doubtful: frozenset[str] = frozenset()
+    """Names of VMs that seem dead, but so many at once that the view is distrusted. They keep
+    their place; an entry may prefer others."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayReady:
+    """The newest configuration that can be learned is in force: work may be taken."""
+
+    documents: int
+    alone: bool
+    """Whether no peer answered, so that the documents rest on the platform alone."""
+
+
 Event = (
     Tick
     | CallArrived
@@ -118,6 +184,12 @@
     | ServerShed
     | DocumentInForce
     | StopRequested
+    | DocumentRead
+    | DocumentsListed
+    | WatchReturned
+    | VmsListed
+    | PlatformFailed
+    | MembershipChanged
 )
 
 # --- Actions --------------------------------------------------------------------------------
@@ -170,7 +242,44 @@
     fields: tuple[tuple[str, object], ...] = ()
 
 
-Action = SendPeer | AnswerCall | RunAtServer | CancelAtServer | Record
+@dataclass(frozen=True, slots=True)
+class ReadDocument:
+    """Read one document from the platform."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListDocuments:
+    """Read keys and versions of all documents from the platform."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchPlatform:
+    """Wait at the platform until its revision passes `after`."""
+
+    after: int
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ListVms:
+    """Read the platform's list of VMs."""
+
+
+PlatformRequest = ReadDocument | ListDocuments | WatchPlatform | ListVms
+
+Action = (
+    SendPeer
+    | AnswerCall
+    | RunAtServer
+    | CancelAtServer
+    | Record
+    | PlatformRequest
+    | DocumentInForce
+    | MembershipChanged
+    | RelayReady
+)
 
 __all__ = [
     "Action",
@@ -182,10 +291,19 @@
     "CallArrived",
     "CancelAtServer",
     "DocumentInForce",
+    "DocumentRead",
+    "DocumentsListed",
     "Event",
+    "ListDocuments",
+    "ListVms",
+    "MembershipChanged",
     "PeerLost",
     "PeerReceived",
+    "PlatformFailed",
+    "PlatformRequest",
+    "ReadDocument",
     "Record",
+    "RelayReady",
     "RunAtServer",
     "SendPeer",
     "ServerAnswered",
@@ -193,4 +311,7 @@
     "ServerShed",
     "StopRequested",
     "Tick",
+    "VmsListed",
+    "WatchPlatform",
+    "WatchReturned",
 ]
--- /dev/null
+++ b/src/pollenroad/spreading.py
@@ -0,0 +1,147 @@
+"""Documents between daemons: offered, judged, recorded, announced and fetched.
+
+A daemon that takes a newer document announces its digest to its links, and each of them that lacks
+it fetches the bytes. Marks on heartbeats find what an announcement missed. No I/O.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Iterator
+from itertools import batched
+
+from pollenroad.audit import AuditTrail
+from pollenroad.boundary import Action, DocumentInForce, Record, SendPeer
+from pollenroad.configuration import Accepted, Configuration, Known, Outcome, Refused, digest_of
+from pollenroad.fetching import make_fetches
+from pollenroad.messages import (
+    ITEMS_PER_MESSAGE,
+    Announce,
+    DocumentCopy,
+    DocumentDigest,
+    FetchDocuments,
+)
+from pollenroad.models import Document
+
+PLATFORM = "platform"
+"""Source of documents that were read from the platform."""
+
+REFUSALS_REMEMBERED = 256
+"""Refusals that are not recorded again when the same bytes are offered again."""
+
+Explain = Callable[[Document | None, Document], Iterable[str]]
+"""Returns the plain sentences of a change."""
+
+
+class Spreading:
+    """The documents of one daemon and what it tells its links of them."""
+
+    def __init__(self, configuration: Configuration, trail: AuditTrail, explain: Explain):
+        self._configuration = configuration
+        self._trail = trail
+        self._explain = explain
+        self._fetches = make_fetches()
+        self._refused: OrderedDict[tuple[str, bytes], None] = OrderedDict()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing that peers announced is still to be fetched."""
+        return not self._fetches
+
+    def offer(
+        self, key: str, data: bytes, source: str, wall_s: float, links: Iterable[str]
+    ) -> tuple[Outcome, list[Action]]:
+        """Take a document from the platform or a peer; announce it if it came into force."""
+        outcome = self._configuration.offer(key, data)
+        match outcome:
+            case Accepted(document, previous):
+                self._fetches.settle(key, document.version)
+                self._note_accepted(document, previous, source, wall_s)
+                digest = DocumentDigest(key, document.version, digest_of(data))
+                announce = Announce((digest,))
+                actions = [SendPeer(link, announce) for link in links if link != source]
+                return outcome, [DocumentInForce(document), *actions]
+            case Known():
+                self._fetches.settle(key, self._configuration.version(key))
+            case Refused():
+                self._fetches.forget(key, source)
+                return outcome, self._note_refused(key, digest_of(data), outcome, source, wall_s)
+        return outcome, []
+
+    def _note_accepted(
+        self, document: Document, previous: Document | None, source: str, wall_s: float
+    ) -> None:
+        self._trail.add(
+            wall_s,
+            "accepted",
+            document.key,
+            version=document.version,
+            source=source,
+            sentences=self._explain(previous, document),
+        )
+
+    def _note_refused(
+        self, key: str, digest: bytes, refused: Refused, source: str, wall_s: float
+    ) -> list[Action]:
+        if (key, digest) in self._refused:
+            return []
+        self._refused[(key, digest)] = None
+        if len(self._refused) > REFUSALS_REMEMBERED:
+            self._refused.popitem(last=False)
+        self._trail.add(
+            wall_s, "refused", key, version=refused.version, source=source, reason=refused.reason
+        )
+        fields = (("key", key), ("version", refused.version), ("source", source))
+        return [Record(f"document-{refused.code}", (*fields, ("reason", refused.reason)))]
+
+    # --- Messages ---
+
+    def on_announce(self, peer: str, announce: Announce, wall_s: float) -> list[Action]:
+        """Want what is newer, and tell the peer what it has only an older version of."""
+        older = []
+        actions: list[Action] = []
+        for digest in announce.digests:
+            match self._configuration.judge(digest):
+                case "newer":
+                    self._fetches.want(digest, peer)
+                case "older":
+                    older.append(digest.key)
+                case "conflict":
+                    actions += self._on_conflict(digest, peer, wall_s)
+        wanted = set(older)
+        mine = (d for d in self._configuration.digests() if d.key in wanted) if older else ()
+        return [*actions, *announcements(peer, mine)]
+
+    def _on_conflict(self, digest: DocumentDigest, peer: str, wall_s: float) -> list[Action]:
+        reason = f"two different documents carry version {digest.version}; the first stays in force"
+        refused = Refused("conflict", reason, digest.version)
+        return self._note_refused(digest.key, digest.digest, refused, peer, wall_s)
+
+    def all_announcements(self, peer: str, joining: bool) -> list[Action]:
+        """Return the answer to `AskDigests`."""
+        batches = list(batched(self._configuration.digests(), ITEMS_PER_MESSAGE)) or [()]
+        last = len(batches) - 1
+        return [
+            SendPeer(peer, Announce(batch, complete=number == last, joining=joining))
+            for number, batch in enumerate(batches)
+        ]
+
+    def copies(self, peer: str, fetch: FetchDocuments) -> Iterator[Action]:
+        """Yield the documents that a peer asks for."""
+        for key in fetch.keys:
+            data = self._configuration.data(key)
+            if data is not None:
+                yield SendPeer(peer, DocumentCopy(key, data))
+
+    def due(self, now: float) -> Iterator[Action]:
+        """Yield the fetches to make now."""
+        return self._fetches.due(now)
+
+
+def announcements(peer: str, digests: Iterable[DocumentDigest]) -> Iterator[Action]:
+    """Yield the messages that tell `peer` of some documents."""
+    for batch in batched(digests, ITEMS_PER_MESSAGE):
+        yield SendPeer(peer, Announce(batch))
+
+
+def make_spreading(configuration: Configuration, trail: AuditTrail, explain: Explain) -> Spreading:
+    """Make the spreading of `configuration`, whose decisions go to `trail`."""
+    return Spreading(configuration, trail, explain)
