Add the relay core: spread, membership, start, and reads of the platform

Cause: documents must be in force everywhere within seconds and never go back; dead and leaving VMs must be known within 3 s without writing shared state. Ruled out: all-to-all heartbeats (grow with the fleet); one monitor's word (a one-way cut to 11 of 23 daemons removed a live VM while two monitors agreed before the others could answer: found by test_a_one_way_cut_to_some_daemons_removes_nobody; a death now needs the word of all monitors asked, or the end of their time to answer without a fresh sign of life). Change: three rings per daemon (at most six neighbours), flooding to neighbours plus marks on heartbeats, watchers by rendezvous hashing, reads under a budget, bounded start, doubted views.

--- a/src/pollenroad/audit.py
+++ b/src/pollenroad/audit.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-AUDIT_ENTRIES = 2_000
-"""Entries that a daemon keeps."""
+AUDIT_ENTRIES = 1_000
+"""Entries of each kind of action that a daemon keeps, so that no kind displaces another."""
 
 AUDIT_TEXT_CHARS = 400
 """Longest sentence or reason that is kept, in characters."""
@@ -37,14 +37,15 @@
 
 
 class AuditTrail:
-    """A bounded list of the newest decisions."""
+    """Bounded lists of the newest decisions, one for each kind of action."""
 
     def __init__(self, vm: str, limit: int = AUDIT_ENTRIES):
         self._vm = vm
-        self._entries: deque[AuditEntry] = deque(maxlen=limit)
+        self._limit = limit
+        self._entries_by_action: dict[str, deque[AuditEntry]] = {}
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return sum(len(entries) for entries in self._entries_by_action.values())
 
     def add(
         self,
@@ -68,16 +69,17 @@
             reason=reason[:AUDIT_TEXT_CHARS],
             sentences=tuple(_bounded(sentences)),
         )
-        self._entries.append(entry)
+        entries = self._entries_by_action.setdefault(action, deque(maxlen=self._limit))
+        entries.append(entry)
         return entry
 
-    def entries(self) -> Iterator[AuditEntry]:
-        """Yield the decisions, oldest first."""
-        yield from tuple(self._entries)
+    def entries(self) -> list[AuditEntry]:
+        """Return the decisions, oldest first."""
+        return merge_trails(self._entries_by_action.values())
 
     def to_json(self) -> bytes:
         """Return the trail as a JSON array, as the operator port serves it."""
-        return msgspec.json.encode(tuple(self._entries))
+        return msgspec.json.encode(self.entries())
 
 
 def _bounded(sentences: Iterable[str]) -> Iterator[str]:
--- a/src/pollenroad/directory.py
+++ b/src/pollenroad/directory.py
@@ -129,7 +129,7 @@
         unchanged = [vm for vm in vm_by_name.values() if self._vm_by_name.get(vm.name) == vm]
         if len(unchanged) == len(previous) == len(vm_by_name) and set(previous) == set(vm_by_name):
             return False
-        self._references.update(vm_by_name)
+        self._references.update(list(vm_by_name))
         for name in previous:
             self._release(name)
         self._names_by_key[key] = tuple(vm_by_name)
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -161,6 +161,8 @@
     """Seconds since any daemon, as far as the sender knows, read the platform."""
     joining: bool = False
     """Whether the sender still collects documents and takes no work."""
+    is_neighbour: bool = True
+    """Whether the sender counts the receiver among its neighbours."""
 
 
 class AskDigests(Message, tag="ask-digests"):
@@ -200,14 +202,12 @@
     """The sender misses heartbeats of a VM and asks another monitor of it."""
 
     vm: ShortText
-    incarnation: int
 
 
 class Opinion(Message, tag="opinion"):
     """Answer of a monitor to `Suspect`."""
 
     vm: ShortText
-    incarnation: int
     heard_ago_s: float
     """Time since the sender last heard the VM, in seconds."""
     suspects: bool
--- a/src/pollenroad/monitoring.py
+++ b/src/pollenroad/monitoring.py
@@ -15,6 +15,9 @@
 """Silence after which a neighbour is suspected, in seconds: a pause of one second, the interval of
 the heartbeats and some delay together stay below it."""
 
+VOUCH_S = 1.2
+"""Age up to which another monitor's last heartbeat counts as a sign of life, in seconds."""
+
 AGREE_S = 0.5
 """Time given to other monitors to answer, in seconds."""
 
@@ -38,6 +41,7 @@
 class _Neighbour:
     heard_at: float
     asked_at: float | None = None
+    asked: int = 0
     agreeing: set[str] = field(default_factory=set)
     dissenting: set[str] = field(default_factory=set)
 
@@ -78,7 +82,7 @@
             neighbour.asked_at = None
 
     def heard(self, vm: str, heard_at: float) -> None:
-        """Note that `vm` was heard, by this daemon or by another monitor, at `heard_at`."""
+        """Note that `vm` was heard at `heard_at`, by this daemon or by another monitor."""
         neighbour = self._neighbour_by_vm.get(vm)
         if neighbour is None or heard_at <= neighbour.heard_at:
             return
@@ -119,11 +123,20 @@
         for vm, neighbour in self._neighbour_by_vm.items():
             if neighbour.asked_at is None and self.is_overdue(vm, now):
                 neighbour.asked_at = now
+                neighbour.asked = 0
                 neighbour.agreeing = set()
                 neighbour.dissenting = set()
                 yield vm
 
-    def agree(self, vm: str, monitor: str, suspects: bool) -> None:
+    def note_asked(self, vm: str, count: int) -> None:
+        """Note how many other monitors were asked about a neighbour."""
+        neighbour = self._neighbour_by_vm.get(vm)
+        if neighbour is not None:
+            neighbour.asked = count
+
+    def take_opinion(
+        self, vm: str, monitor: str, suspects: bool, heard_ago_s: float, now: float
+    ) -> None:
         """Take the opinion of another monitor of a suspected neighbour."""
         neighbour = self._neighbour_by_vm.get(vm)
         if neighbour is None:
@@ -132,6 +145,8 @@
         neighbour.dissenting.discard(monitor)
         opinions = neighbour.agreeing if suspects else neighbour.dissenting
         opinions.add(monitor)
+        if not suspects and 0 <= heard_ago_s <= VOUCH_S:
+            self.heard(vm, now - heard_ago_s)
 
     def declared_dead(self, now: float) -> Iterator[str]:
         """Yield neighbours that are dead by the opinion of those monitors that can be heard."""
@@ -141,11 +156,8 @@
             if neighbour.asked_at is None or not self.is_overdue(vm, now):
                 continue
             waited = now - neighbour.asked_at >= AGREE_S
-            if neighbour.dissenting:
-                is_dead = waited and bool(neighbour.agreeing)
-            else:
-                is_dead = waited or bool(neighbour.agreeing)
-            if is_dead:
+            agreed = len(neighbour.agreeing)
+            if agreed >= neighbour.asked > 0 or waited and (agreed or not neighbour.dissenting):
                 yield vm
 
 
--- /dev/null
+++ b/src/pollenroad/relay.py
@@ -0,0 +1,335 @@
+"""The relay core: configuration and membership between daemons, and reads of the platform.
+
+It combines the documents (`spreading`), what is known of VMs (`liveness`), the neighbours
+(`directory`), the reads of the platform (`watching`) and the start (`joining`). No I/O: see
+`pollenroad.boundary`.
+"""
+
+import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from pollenroad.audit import AuditTrail
+from pollenroad.boundary import (
+    Action,
+    AttemptAnswer,
+    DocumentInForce,
+    DocumentRead,
+    DocumentsListed,
+    Event,
+    MembershipChanged,
+    PeerReceived,
+    PlatformFailed,
+    Record,
+    RelayReady,
+    SendPeer,
+    StopRequested,
+    VmsListed,
+    WatchReturned,
+)
+from pollenroad.configuration import make_configuration
+from pollenroad.directory import Vm, make_directory
+from pollenroad.joining import make_joining
+from pollenroad.links import Links
+from pollenroad.liveness import Liveness
+from pollenroad.messages import (
+    Announce,
+    AskDigests,
+    DocumentCopy,
+    FetchDocuments,
+    Heartbeat,
+    Leaving,
+    Opinion,
+    Suspect,
+    VmNews,
+)
+from pollenroad.monitoring import HEARTBEAT_S
+from pollenroad.spreading import PLATFORM, Explain, make_spreading
+from pollenroad.watching import WATCHERS_PER_DOMAIN, PlatformReads
+
+TICK_S = 0.1
+"""Time between two ticks, in seconds."""
+
+REFRESH_S = 1.0
+"""Time after which neighbours, watchers and the view are worked out again, in seconds."""
+
+PRUNE_S = 30.0
+"""Time between two searches for records that are no longer needed, in seconds."""
+
+FRESH_S = 30.0
+"""Age of the last read of the platform that counts as lately, in seconds."""
+
+LISTED_KEY = "#listed"
+"""Key of the directory for VMs known only from the platform's list, during the start."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelaySettings:
+    """What a relay is told at its start."""
+
+    vm: str
+    address: str
+    failure_domain: str
+    incarnation: int
+    """Milliseconds since the epoch at the start of the process, so that it grows by restarts."""
+    seeds: tuple[str, ...] = ()
+    """Peer addresses to ask first, before any document is known."""
+    fleet_hint: int = 11_000
+    """Daemons that share the platform, at the most; bounds reads before the fleet is known."""
+    wall_offset_s: float = 0.0
+    """Wall clock minus monotonic clock, in seconds."""
+
+
+class Relay:
+    """State of one relay."""
+
+    def __init__(self, settings: RelaySettings, explain: Explain, rng: random.Random):
+        self._settings = settings
+        self._rng = rng
+        self.trail = AuditTrail(settings.vm)
+        self.configuration = make_configuration()
+        self.directory = make_directory()
+        self._spreading = make_spreading(self.configuration, self.trail, explain)
+        self._reads = PlatformReads(self.configuration, settings.fleet_hint, rng)
+        self._joining = make_joining()
+        self._links = Links(settings.seeds)
+        self._liveness = Liveness(
+            settings.vm,
+            settings.incarnation,
+            self.directory,
+            self._links,
+            self.trail,
+            self._wall,
+        )
+        self.ready = False
+        self._platform_seen_at: float | None = None
+        self._tick_at = 0.0
+        self._heartbeat_at = 0.0
+        self._refresh_at = 0.0
+        self._prune_at = 0.0
+
+    # --- Boundary ---
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this daemon watches the platform for its failure domain."""
+        return self._reads.is_watcher
+
+    @property
+    def view(self) -> MembershipChanged:
+        """The membership that was told to the entry last."""
+        return self._liveness.view
+
+    def is_member(self, address: str) -> bool:
+        """Tell whether a peer address belongs to a known daemon; before any is known, all do."""
+        return not len(self.directory) or self.directory.name_at(address) is not None
+
+    def next_due(self) -> float:
+        """Return when `Tick` is next needed, in monotonic seconds."""
+        return self._tick_at
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what is to be done."""
+        self._joining.begin(now)
+        self._liveness.monitor.notice_event(now)
+        actions = list(self._handle(event, now))
+        if now >= self._tick_at:
+            self._tick_at = now + TICK_S
+            actions += self._periodic(now)
+        if self._liveness.is_view_due:
+            actions += self._liveness.tell_view(now)
+        actions += self._spreading.due(now)
+        return actions
+
+    def _handle(self, event: Event, now: float) -> Iterable[Action]:
+        match event:
+            case PeerReceived(peer, message):
+                return self._on_message(peer, message, now)
+            case DocumentRead(key, data):
+                return self._on_read(key, data, now)
+            case DocumentsListed():
+                self._platform_seen_at = now
+                self._reads.on_list(event, now)
+            case WatchReturned():
+                self._platform_seen_at = now
+                self._reads.on_watch(event, now)
+            case VmsListed():
+                return self._on_vms(event, now)
+            case PlatformFailed(_, reason):
+                self._reads.on_failed(event, now)
+                return [Record("platform_failed", (("reason", reason),))]
+            case StopRequested():
+                return self._liveness.leave(now)
+        return ()
+
+    def _on_message(self, peer: str, message, now: float) -> Iterable[Action]:
+        match message:
+            case Heartbeat():
+                return self._on_heartbeat(peer, message, now)
+            case Announce():
+                if message.complete:
+                    self._joining.note_answer(peer, message.joining, now)
+                return self._spreading.on_announce(peer, message, self._wall(now))
+            case AskDigests():
+                everything = self._spreading.all_announcements(peer, not self.ready)
+                return [*everything, *self._liveness.everything(peer)]
+            case FetchDocuments():
+                return self._spreading.copies(peer, message)
+            case DocumentCopy(key, data):
+                return self._offer(key, data, peer, now)
+            case VmNews(statuses, listings):
+                return self._liveness.learn(statuses, listings, peer, now)
+            case Suspect(vm):
+                return self._liveness.on_suspect(peer, vm, now)
+            case Opinion(vm, heard_ago_s, suspects):
+                self._liveness.monitor.take_opinion(vm, peer, suspects, heard_ago_s, now)
+            case Leaving(vm):
+                return self._liveness.on_leaving(vm, peer, now)
+            case AttemptAnswer(reason="leaving"):
+                return self._liveness.on_leaving(self.directory.name_at(peer), peer, now)
+        return ()
+
+    def _wall(self, now: float) -> float:
+        return now + self._settings.wall_offset_s
+
+    # --- Documents ---
+
+    def _on_read(self, key: str, data: bytes | None, now: float) -> list[Action]:
+        self._platform_seen_at = now
+        actions = self._offer(key, data, PLATFORM, now) if data is not None else []
+        self._reads.on_read(DocumentRead(key, data), now)
+        return actions
+
+    def _offer(self, key: str, data: bytes, source: str, now: float) -> list[Action]:
+        links = self._links.addresses(now)
+        _, actions = self._spreading.offer(key, data, source, self._wall(now), links)
+        accepted = [a.document for a in actions if isinstance(a, DocumentInForce)]
+        for document in accepted:
+            self._joining.note_change(now)
+            if self.directory.configure(document):
+                self._refresh_at = now
+        if self.ready:
+            return actions
+        return [action for action in actions if not isinstance(action, DocumentInForce)]
+
+    # --- Heartbeats and anti-entropy ---
+
+    def _on_heartbeat(self, peer: str, beat: Heartbeat, now: float) -> Iterator[Action]:
+        self._links.heard(peer, beat, now)
+        yield from self._liveness.on_heartbeat(peer, beat, now)
+        seen_at = now - beat.platform_age_s
+        if self._platform_seen_at is None or seen_at > self._platform_seen_at:
+            self._platform_seen_at = seen_at
+        same = (
+            beat.documents == self.configuration.fingerprint
+            and beat.statuses == self._liveness.membership.fingerprint
+        )
+        if self._links.should_ask(peer, same, now) or self._still_to_ask(peer, now):
+            yield SendPeer(peer, AskDigests())
+
+    def _still_to_ask(self, peer: str, now: float) -> bool:
+        if self.ready or self._joining.has_answered(peer):
+            return False
+        return self._links.may_ask_at_start(peer, now)
+
+    def _heartbeats(self, now: float) -> Iterator[Action]:
+        age_s = 1e9 if self._platform_seen_at is None else now - self._platform_seen_at
+        beat = Heartbeat(
+            self._settings.vm,
+            self._liveness.incarnation,
+            self._settings.failure_domain,
+            self.configuration.fingerprint,
+            self._liveness.membership.fingerprint,
+            round(age_s, 1),
+            not self.ready,
+        )
+        yield from (SendPeer(link, beat) for link in self._links.neighbours())
+        to_guest = msgspec.structs.replace(beat, is_neighbour=False)
+        yield from (SendPeer(guest, to_guest) for guest in self._links.guests(now))
+
+    # --- The platform's list of VMs ---
+
+    def _on_vms(self, event: VmsListed, now: float) -> Iterable[Action]:
+        self._platform_seen_at = now
+        self._reads.on_vms(event)
+        if not self.ready and not len(self.configuration):
+            vms = (Vm(vm.name, vm.address, vm.failure_domain) for vm in event.vms)
+            self.directory.replace(LISTED_KEY, vms)
+            self._refresh_at = now
+        return self._liveness.on_list(event, now)
+
+    # --- Periodic work ---
+
+    def _periodic(self, now: float) -> Iterator[Action]:
+        if now >= self._refresh_at or self._liveness.is_refresh_due:
+            self._refresh_at = now + REFRESH_S
+            self._liveness.is_view_due = True
+            self._liveness.is_refresh_due = False
+            yield from self._refresh(now)
+        if now >= self._prune_at:
+            self._prune_at = now + PRUNE_S
+            self._liveness.membership.prune(now)
+        if now >= self._heartbeat_at:
+            self._heartbeat_at = now + HEARTBEAT_S * self._rng.uniform(0.9, 1.1)
+            yield from self._heartbeats(now)
+        yield from self._liveness.suspicions(now)
+        yield from self._liveness.deaths(now)
+        yield from self._read_platform(now)
+        if not self.ready:
+            yield from self._join(now)
+
+    def _refresh(self, now: float) -> Iterator[Action]:
+        """Work out neighbours and watchers anew."""
+        me, domain = self._settings.vm, self._settings.failure_domain
+        unused = self._liveness.unused()
+        names = self.directory.neighbours(me, domain, unused)
+        self._liveness.monitor.watch(names, now)
+        addresses = [self.directory.get(name).address for name in names]
+        fresh = self._links.set_neighbours(addresses)
+        if self.ready:
+            yield from (SendPeer(link, AskDigests()) for link in fresh)
+        watchers = self.directory.watchers(domain, unused | self.view.leaving, WATCHERS_PER_DOMAIN)
+        self._reads.set_watcher(me in watchers, now)
+        watcher_count = WATCHERS_PER_DOMAIN * len(self.directory.domains())
+        self._reads.set_fleet(len(self.directory), watcher_count)
+
+    def _read_platform(self, now: float) -> Iterable[Action]:
+        age_s = float("inf") if self._platform_seen_at is None else now - self._platform_seen_at
+        return self._reads.due(now, age_s, bool(len(self.directory)))
+
+    def _join(self, now: float) -> Iterator[Action]:
+        links = self._links.addresses(now)
+        for link in links:
+            if not self._joining.has_answered(link) and self._links.may_ask_at_start(link, now):
+                yield SendPeer(link, AskDigests())
+        if not len(self.configuration):
+            return
+        settled = self._spreading.is_settled and self._reads.is_settled
+        is_read = self._platform_seen_at is not None and now - self._platform_seen_at < FRESH_S
+        if self._joining.is_over(len(links), settled, is_read, now):
+            yield from self._start_work(now)
+
+    def _start_work(self, now: float) -> Iterator[Action]:
+        self.ready = True
+        self.directory.replace(LISTED_KEY, ())
+        self._refresh_at = now
+        for key in self.configuration.keys():  # noqa: SIM118
+            yield DocumentInForce(self.configuration.document(key))
+        alone = not self._joining.is_answered
+        reason = "no peer answered; by the platform alone" if alone else "peers answered"
+        self.trail.add(self._wall(now), "startup", self._settings.vm, reason=reason)
+        yield Record("started_alone" if alone else "daemon_ready", (("reason", reason),))
+        yield RelayReady(len(self.configuration), alone)
+
+
+def make_relay(settings: RelaySettings, explain: Explain, rng: random.Random) -> Relay:
+    """Make a relay.
+
+    Args:
+        settings: Who it is.
+        explain: Returns the plain sentences of a change, for the audit trail.
+        rng: Source of randomness.
+    """
+    return Relay(settings, explain, rng)
--- a/src/pollenroad/spreading.py
+++ b/src/pollenroad/spreading.py
@@ -6,7 +6,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
-from itertools import batched
+from itertools import islice
 
 from pollenroad.audit import AuditTrail
 from pollenroad.boundary import Action, DocumentInForce, Record, SendPeer
@@ -27,6 +27,12 @@
 REFUSALS_REMEMBERED = 256
 """Refusals that are not recorded again when the same bytes are offered again."""
 
+_EVENT_BY_CODE = {
+    "invalid": "document_refused",
+    "older": "document_refused",
+    "conflict": "document_conflict",
+}
+
 Explain = Callable[[Document | None, Document], Iterable[str]]
 """Returns the plain sentences of a change."""
 
@@ -90,7 +96,7 @@
             wall_s, "refused", key, version=refused.version, source=source, reason=refused.reason
         )
         fields = (("key", key), ("version", refused.version), ("source", source))
-        return [Record(f"document-{refused.code}", (*fields, ("reason", refused.reason)))]
+        return [Record(_EVENT_BY_CODE[refused.code], (*fields, ("reason", refused.reason)))]
 
     # --- Messages ---
 
@@ -136,6 +142,13 @@
         return self._fetches.due(now)
 
 
+def batched(items: Iterable, size: int) -> Iterator[tuple]:
+    """Yield tuples of at most `size` items."""
+    rest = iter(items)
+    while batch := tuple(islice(rest, size)):
+        yield batch
+
+
 def announcements(peer: str, digests: Iterable[DocumentDigest]) -> Iterator[Action]:
     """Yield the messages that tell `peer` of some documents."""
     for batch in batched(digests, ITEMS_PER_MESSAGE):
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,190 @@
+"""Tests of the records of VMs, the doubted view, the neighbours and the monitors."""
+
+import random
+import unittest
+
+from pollenroad.directory import Vm, make_directory
+from pollenroad.membership import DOUBT_S, make_membership
+from pollenroad.messages import VmListing, VmStatus
+from pollenroad.models import VmState
+from pollenroad.monitoring import AGREE_S, SUSPECT_S, make_monitor
+
+
+def directory_of(count: int, domains: int = 3, key: str = "merrimack/registry"):
+    directory = make_directory()
+    directory.replace(
+        key, [Vm(f"vm-{i}", f"10.0.0.{i}:71", f"fd-{i % domains}") for i in range(count)]
+    )
+    return directory
+
+
+class DirectoryTest(unittest.TestCase):
+    def test_neighbours_are_few_and_mutual_whatever_the_size(self):
+        directory = directory_of(400, domains=5)
+        for i in range(400):
+            found = directory.neighbours(f"vm-{i}", f"fd-{i % 5}", ())
+            self.assertLessEqual(len(found), 6)
+            for name in found:
+                domain = directory.get(name).failure_domain
+                self.assertIn(f"vm-{i}", directory.neighbours(name, domain, ()))
+
+    def test_news_passed_to_neighbours_reaches_everybody_in_a_few_hops(self):
+        directory = directory_of(2000, domains=19)
+        reached, frontier, hops = {"vm-0"}, {"vm-0"}, 0
+        while len(reached) < 2000:
+            near = {
+                n
+                for name in frontier
+                for n in directory.neighbours(name, directory.get(name).failure_domain, ())
+            }
+            frontier = near - reached
+            reached |= frontier
+            hops += 1
+            self.assertTrue(frontier)
+        self.assertLessEqual(hops, 8)
+
+    def test_unused_vms_are_passed_over_and_rings_close(self):
+        directory = directory_of(30)
+        dead = set(directory.neighbours("vm-0", "fd-0", ()))
+        again = directory.neighbours("vm-0", "fd-0", dead)
+        self.assertEqual(dead & set(again), set())
+        self.assertGreaterEqual(len(again), 2)
+
+    def test_a_vm_goes_only_with_the_last_document_that_names_it(self):
+        directory = directory_of(3)
+        directory.replace("merrimack/standings", [Vm("vm-0", "10.0.0.0:71", "fd-0")])
+        directory.replace("merrimack/registry", [])
+        self.assertEqual((len(directory), directory.name_at("10.0.0.0:71")), (1, "vm-0"))
+        self.assertEqual(directory.domains(), ["fd-0"])
+
+    def test_watchers_change_little_when_one_of_them_is_gone(self):
+        directory = directory_of(300)
+        before = directory.watchers("fd-0", (), 3)
+        after = directory.watchers("fd-0", {before[0]}, 3)
+        self.assertEqual(after[:2], before[1:])
+
+
+class RecordTest(unittest.TestCase):
+    def test_news_merges_to_the_same_records_in_every_order(self):
+        news = [
+            VmStatus("vm-0", 1, "dead"),
+            VmStatus("vm-0", 2, "alive"),
+            VmStatus("vm-0", 2, "leaving"),
+            VmStatus("vm-1", 5, "dead"),
+            VmStatus("vm-1", 4, "leaving"),
+        ]
+        rng = random.Random(3)
+        seen = set()
+        for _ in range(20):
+            rng.shuffle(news)
+            membership = make_membership(directory_of(9))
+            for status in news:
+                membership.apply_status(status, 0.0)
+            seen.add((membership.view(0.0), membership.fingerprint))
+        self.assertEqual(len(seen), 1)
+        view = seen.pop()[0]
+        self.assertEqual((view.leaving, view.dead), ({"vm-0"}, {"vm-1"}))
+
+    def test_an_older_list_of_the_platform_is_ignored(self):
+        membership = make_membership(directory_of(9))
+        leaving = VmState(
+            name="vm-1", address="10.0.0.1:71", failure_domain="fd-1", state="leaving"
+        )
+        live = VmState(name="vm-1", address="10.0.0.1:71", failure_domain="fd-1")
+        news = membership.apply_list(7, [leaving])
+        self.assertEqual(news, [VmListing("vm-1", "leaving", 7)])
+        self.assertEqual(membership.apply_list(6, [live]), [])
+        self.assertEqual(membership.view(0.0).leaving, {"vm-1"})
+        membership.apply_list(8, [live])
+        self.assertEqual(membership.view(0.0).leaving, frozenset())
+
+    def test_records_of_vms_that_nobody_names_are_dropped(self):
+        membership = make_membership(directory_of(9))
+        membership.apply_status(VmStatus("vm-1", 1, "dead"), 0.0)
+        membership.apply_status(VmStatus("gone", 1, "dead"), 0.0)
+        membership.prune(10_000.0)
+        self.assertEqual([s.vm for s in membership.statuses()], ["vm-1"])
+
+
+class DoubtTest(unittest.TestCase):
+    def membership(self, count: int, domains: int, dead: int, step: int = 1):
+        membership = make_membership(directory_of(count, domains))
+        for i in range(dead):
+            membership.apply_status(VmStatus(f"vm-{i * step}", 1, "dead"), 0.0)
+        return membership
+
+    def test_a_minority_is_removed(self):
+        view = self.membership(9, 3, dead=2).view(0.0)
+        self.assertEqual((len(view.dead), len(view.doubtful)), (2, 0))
+
+    def test_most_of_a_failure_domain_at_once_is_doubted(self):
+        view = self.membership(30, 3, dead=6, step=3).view(0.0)
+        self.assertEqual((len(view.dead), len(view.doubtful)), (0, 6))
+
+    def test_a_service_is_never_emptied_whatever_its_size(self):
+        for count in range(1, 8):
+            for dead in range(1, count + 1):
+                with self.subTest(count=count, dead=dead):
+                    view = self.membership(count, count, dead).view(0.0)
+                    self.assertLessEqual(len(view.dead) * 2, count)
+                    self.assertEqual(len(view.dead) + len(view.doubtful), dead)
+
+    def test_doubt_outlasts_its_cause_so_that_the_view_does_not_flap(self):
+        membership = self.membership(5, 5, dead=3)
+        self.assertEqual(len(membership.view(0.0).doubtful), 3)
+        membership.apply_status(VmStatus("vm-0", 2, "alive"), 1.0)
+        self.assertEqual(len(membership.view(1.0).doubtful), 2)
+        self.assertEqual(len(membership.view(DOUBT_S + 1).dead), 2)
+
+
+class MonitorTest(unittest.TestCase):
+    def setUp(self):
+        self.monitor = make_monitor()
+        self.monitor.watch(["a", "b", "c"], 0.0)
+        self.now = 100.0
+        self.monitor.notice_event(self.now)
+        for vm in "abc":
+            self.monitor.heard(vm, self.now)
+
+    def run_until(self, end: float, *live: str) -> list[str]:
+        """Let time pass with heartbeats of `live`; return who was declared dead."""
+        dead = []
+        while self.now < end:
+            self.now += 0.1
+            self.monitor.notice_event(self.now)
+            for vm in live:
+                self.monitor.heard(vm, self.now)
+            for vm in self.monitor.newly_overdue(self.now):
+                self.monitor.note_asked(vm, 1)
+            dead += self.monitor.declared_dead(self.now)
+        return dead
+
+    def test_a_pause_of_one_second_is_no_suspicion(self):
+        self.assertEqual(self.run_until(101.4, "b", "c"), [])
+        self.assertFalse(self.monitor.is_overdue("a", self.now))
+
+    def test_a_silent_neighbour_is_dead_when_another_monitor_agrees(self):
+        self.run_until(100.0 + SUSPECT_S + 0.15, "b", "c")
+        self.monitor.take_opinion("a", "m2", True, 1.7, self.now)
+        self.assertEqual(list(self.monitor.declared_dead(self.now)), ["a"])
+
+    def test_a_cut_between_two_daemons_is_no_death(self):
+        self.run_until(100.0 + SUSPECT_S + 0.15, "b", "c")
+        self.monitor.take_opinion("a", "m2", False, 0.3, self.now)
+        self.assertEqual(self.run_until(self.now + AGREE_S, "b", "c"), [])
+
+    def test_a_daemon_that_hears_hardly_anybody_declares_nobody_dead(self):
+        self.assertEqual(self.run_until(110.0, "c"), [])
+        self.assertTrue(self.monitor.is_isolated(self.now))
+
+    def test_the_monitors_own_pause_is_forgiven(self):
+        self.now += 5.0
+        self.monitor.notice_event(self.now)
+        self.assertEqual(list(self.monitor.newly_overdue(self.now)), [])
+
+    def test_patience_grows_for_a_vm_that_was_wrongly_declared_dead(self):
+        self.monitor.be_patient("a", self.now)
+        self.run_until(100.0 + SUSPECT_S * 1.9, "b", "c")
+        self.assertFalse(self.monitor.is_overdue("a", self.now))
+        self.run_until(100.0 + SUSPECT_S * 2.1, "b", "c")
+        self.assertTrue(self.monitor.is_overdue("a", self.now))
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,238 @@
+"""Tests of relays together: documents spread, never go back, and VMs come and go."""
+
+import unittest
+
+from pollenroad.boundary import PeerReceived, StopRequested
+from pollenroad.joining import JOIN_WAIT_S
+from pollenroad.messages import DocumentCopy, Leaving
+from tests.relay_fleet import Fleet, service_bytes
+
+KEY = "merrimack/registry"
+
+
+def started(count: int = 24, **options) -> Fleet:
+    fleet = Fleet(count, **options)
+    fleet.start()
+    fleet.run_until(lambda: len(fleet.ready) == count, 15)
+    fleet.run(4)
+    return fleet
+
+
+class RelayCase(unittest.TestCase):
+    def publish(self, fleet: Fleet, version: int) -> None:
+        fleet.platform.publish(service_bytes(fleet.vms, version))
+
+    def assert_in_force(self, fleet: Fleet, version: int, limit_s: float, *names: str) -> None:
+        names = names or [fleet.name_by_address[a] for a in fleet.relay_by_address]
+        fleet.run_until(lambda: all(fleet.version(n) == version for n in names), limit_s)
+
+    def assert_never_back(self, fleet: Fleet) -> None:
+        for name, versions in fleet.versions.items():
+            self.assertEqual(versions, sorted(set(versions)), name)
+
+
+class SpreadTest(RelayCase):
+    def test_a_change_is_in_force_everywhere_within_seconds(self):
+        fleet = started()
+        self.publish(fleet, 2)
+        self.assert_in_force(fleet, 2, 3)
+        self.assert_never_back(fleet)
+
+    def test_dead_watchers_are_replaced(self):
+        fleet = started()
+        watchers = [n for n in fleet.vm_by_name if fleet.relay(n).is_watcher]
+        self.assertEqual(len(watchers), 9)
+        for name in watchers:
+            fleet.kill(name)
+        self.publish(fleet, 2)
+        self.assert_in_force(fleet, 2, 16)
+
+    def test_paused_watchers_do_not_hold_a_change_back_and_wake_up_to_it(self):
+        fleet = started()
+        watchers = {n for n in fleet.vm_by_name if fleet.relay(n).is_watcher}
+        others = [n for n in fleet.vm_by_name if n not in watchers]
+        fleet.paused |= watchers
+        self.publish(fleet, 2)
+        self.assert_in_force(fleet, 2, 16, *others)
+        fleet.paused.clear()
+        self.assert_in_force(fleet, 2, 3)
+        self.assert_never_back(fleet)
+
+    def test_a_stale_platform_takes_nothing_back_and_a_change_follows_when_it_ends(self):
+        fleet = started()
+        fleet.platform.freeze()
+        self.publish(fleet, 2)
+        stale, fleet.platform.frozen = fleet.platform.frozen, None
+        self.assert_in_force(fleet, 2, 3)
+        fleet.platform.frozen = stale
+        fleet.run(20)
+        self.publish(fleet, 3)
+        fleet.platform.frozen = None
+        self.assert_in_force(fleet, 3, 16)
+        self.assert_never_back(fleet)
+
+    def test_both_sides_of_a_partition_agree_after_it(self):
+        fleet = started()
+        side = {v.name for v in fleet.vms if v.failure_domain == "fd-0"}
+        rest = set(fleet.vm_by_name) - side
+        fleet.cut = {(a, b) for a in side for b in rest | {"platform"}}
+        fleet.cut |= {(b, a) for a in side for b in rest}
+        self.publish(fleet, 2)
+        self.assert_in_force(fleet, 2, 16, *rest)
+        self.assertTrue(all(fleet.version(name) == 1 for name in side))
+        fleet.cut.clear()
+        self.assert_in_force(fleet, 2, 16)
+        self.assert_never_back(fleet)
+
+    def test_a_daemon_whose_relays_are_silent_reads_the_platform_itself(self):
+        fleet = started(count=16)
+        alone = next(n for n in fleet.vm_by_name if not fleet.relay(n).is_watcher)
+        fleet.cut = {(a, alone) for a in fleet.vm_by_name} | {(alone, a) for a in fleet.vm_by_name}
+        self.publish(fleet, 2)
+        self.assert_in_force(fleet, 2, 90, alone)
+
+    def test_two_documents_under_one_version_are_refused_and_reported(self):
+        fleet = started(count=6)
+        other = service_bytes(fleet.vms, 1, slots=7)
+        fleet.post("vm-0", PeerReceived(fleet.vms[1].address, DocumentCopy(KEY, other)))
+        refused = [e for e in fleet.relay("vm-0").trail.entries() if e.action == "refused"]
+        self.assertEqual([(e.version, e.source) for e in refused], [(1, fleet.vms[1].address)])
+        self.assertIn("two different documents", refused[0].reason)
+
+    def test_the_trail_names_source_and_sentences(self):
+        fleet = started(count=12)
+        sources = set()
+        for name in fleet.vm_by_name:
+            for entry in fleet.relay(name).trail.entries():
+                if entry.action == "accepted":
+                    self.assertEqual(entry.sentences, ("A change.",))
+                    sources.add(entry.source)
+        self.assertIn("platform", sources)
+        self.assertTrue(sources & set(fleet.relay_by_address))
+
+
+class StartTest(RelayCase):
+    def test_a_new_daemon_asks_peers_and_no_stale_platform_brings_it_back(self):
+        fleet = started()
+        fleet.platform.freeze()
+        stale, fleet.platform.frozen = fleet.platform.frozen, None
+        self.publish(fleet, 2)
+        self.assert_in_force(fleet, 2, 3)
+        fleet.platform.frozen = stale
+        fleet.kill("vm-3")
+        fleet.run(1)
+        fleet.start("vm-3")
+        fleet.run_until(lambda: "vm-3" in fleet.ready, 5)
+        self.assertEqual(fleet.versions["vm-3"], [2])
+        self.assertFalse(fleet.ready["vm-3"].alone)
+
+    def test_without_any_peer_it_waits_and_then_goes_by_the_platform_and_says_so(self):
+        fleet = Fleet(6)
+        fleet.start("vm-0")
+        fleet.run(JOIN_WAIT_S - 1)
+        self.assertEqual((fleet.ready, fleet.versions["vm-0"]), ({}, []))
+        fleet.run_until(lambda: "vm-0" in fleet.ready, 10)
+        self.assertTrue(fleet.ready["vm-0"].alone)
+        reasons = [e.reason for e in fleet.relay("vm-0").trail.entries() if e.action == "startup"]
+        self.assertEqual(reasons, ["no peer answered; by the platform alone"])
+
+    def test_without_peers_and_platform_it_takes_no_work(self):
+        fleet = Fleet(6)
+        fleet.platform.down = True
+        fleet.start("vm-0")
+        fleet.run(60)
+        self.assertEqual(fleet.ready, {})
+        fleet.platform.down = False
+        fleet.run_until(lambda: "vm-0" in fleet.ready, 20)
+
+    def test_a_daemon_that_started_alone_takes_newer_documents_from_its_first_peer(self):
+        fleet = Fleet(6)
+        fleet.start("vm-0")
+        fleet.run_until(lambda: "vm-0" in fleet.ready, 20)
+        fleet.platform.freeze()
+        fleet.start("vm-1")
+        newer = service_bytes(fleet.vms, 9)
+        fleet.post("vm-1", PeerReceived(fleet.vms[2].address, DocumentCopy(KEY, newer)))
+        self.assert_in_force(fleet, 9, 10, "vm-0", "vm-1")
+
+    def test_a_whole_fleet_starts_without_seeds_within_the_budget_of_reads(self):
+        fleet = Fleet(120, domains=6, seeds=False)
+        fleet.start()
+        fleet.run_until(lambda: len(fleet.ready) == 120, 20)
+        self.assertLess(fleet.platform.reads, 4 * 120)
+
+    def test_a_platform_that_is_down_is_asked_seldom(self):
+        fleet = started(count=60, domains=6)
+        fleet.platform.down = True
+        fleet.run(60)
+        before = fleet.platform.reads
+        fleet.run(60)
+        self.assertLess(fleet.platform.reads - before, 60 * 18)
+
+
+class VmTest(RelayCase):
+    def views(self, fleet: Fleet):
+        return [relay.view for relay in fleet.relay_by_address.values()]
+
+    def test_a_leaving_vm_is_known_everywhere_within_three_seconds(self):
+        fleet = started()
+        fleet.post("vm-5", StopRequested())
+        fleet.run_until(lambda: all("vm-5" in v.leaving for v in self.views(fleet)), 3)
+
+    def test_a_peer_cannot_say_that_another_vm_is_leaving(self):
+        fleet = started(count=6)
+        fleet.post("vm-0", PeerReceived(fleet.vms[1].address, Leaving("vm-2")))
+        self.assertEqual(fleet.relay("vm-0").view.leaving, frozenset())
+
+    def test_the_platforms_word_that_a_vm_is_leaving_reaches_everybody(self):
+        fleet = started()
+        fleet.platform.revision += 1
+        vm = fleet.platform.vms[5]
+        fleet.platform.vms[5] = type(vm)(
+            name=vm.name, address=vm.address, failure_domain=vm.failure_domain, state="leaving"
+        )
+        fleet.run_until(lambda: all("vm-5" in v.leaving for v in self.views(fleet)), 8)
+
+    def test_a_dead_vm_is_found_within_three_seconds_and_welcomed_when_it_is_back(self):
+        fleet = started()
+        fleet.kill("vm-5")
+        fleet.run_until(lambda: all("vm-5" in v.dead for v in self.views(fleet)), 3)
+        fleet.start("vm-5")
+        fleet.run_until(lambda: not any("vm-5" in v.dead for v in self.views(fleet)), 3)
+
+    def test_pauses_of_one_second_remove_nobody(self):
+        fleet = started()
+        told = {name: len(views) for name, views in fleet.views.items()}
+        for name in list(fleet.vm_by_name)[:12]:
+            fleet.paused.add(name)
+            fleet.run(1.0)
+            fleet.paused.discard(name)
+            fleet.run(0.5)
+        self.assertEqual({name: len(views) for name, views in fleet.views.items()}, told)
+
+    def test_a_vm_that_wakes_from_a_long_pause_is_back_soon(self):
+        fleet = started()
+        fleet.paused.add("vm-5")
+        others = [fleet.relay(n) for n in fleet.vm_by_name if n != "vm-5"]
+        fleet.run_until(lambda: all("vm-5" in relay.view.dead for relay in others), 3)
+        fleet.paused.clear()
+        fleet.run_until(lambda: not any("vm-5" in v.dead for v in self.views(fleet)), 3)
+
+    def test_a_one_way_cut_to_some_daemons_removes_nobody(self):
+        fleet = started()
+        fleet.cut = {("vm-5", f"vm-{i}") for i in range(12) if i != 5}
+        fleet.run(20)
+        self.assertFalse(any(v.dead for views in fleet.views.values() for v in views))
+
+    def test_a_failure_domain_that_seems_gone_is_doubted_and_kept(self):
+        fleet = started()
+        side = {v.name for v in fleet.vms if v.failure_domain == "fd-0"}
+        rest = set(fleet.vm_by_name) - side
+        fleet.cut = {(a, b) for a in side for b in rest}
+        fleet.cut |= {(b, a) for a, b in fleet.cut}
+        fleet.run(15)
+        for name in rest:
+            view = fleet.relay(name).view
+            self.assertEqual((view.dead, view.doubtful), (frozenset(), side))
+        fleet.cut.clear()
+        fleet.run_until(lambda: not any(v.dead | v.doubtful for v in self.views(fleet)), 30)
