Drive the relay from the daemon, and read the platform only when it says so

Cause: the daemon polled the platform on every VM and scanned all endpoints for each new link. Ruled out: declaring a VM dead that had said it is leaving: after several departures the service would have been doubted and the departed VMs kept (test_vms_that_leave_one_after_another...). Change: daemon.py passes relay events to the relay and carries out its reads; links carry relay messages both ways; settings seeds and fleet_hint; operator port /audit and membership in /status; the stand-in raises its revision when the list of VMs changes, as a platform does; the bench fleet publishes the list before the daemons start and gives each daemon three seeds.

--- a/src/pollenroad/bench/fleet.py
+++ b/src/pollenroad/bench/fleet.py
@@ -26,6 +26,8 @@
 CALL_PORT = 7000
 SERVER_PORT = 7200
 OPERATOR_PORT = 7300
+SEEDS = 3
+"""Peers that each daemon is told of in its settings."""
 PLATFORM_ADDRESS = "127.0.9.1:7400"
 
 _HTTP = urllib3.PoolManager(maxsize=8)
@@ -173,11 +175,11 @@
         poll(lambda: "reads" in http("GET", PLATFORM_ADDRESS, "/control/reads"), "platform")
         for document in self.plan.documents:
             self.publish(document)
+        self.publish_vms()
         for document in self.plan.documents:
             if isinstance(document, ServiceDocument):
                 for endpoint in document.endpoints:
                     self._start_node(document.key, endpoint)
-        self.publish_vms()
         for node in self.nodes:
             poll(node.ready, f"daemon on {node.endpoint.vm}")
 
@@ -209,12 +211,22 @@
             "operator_address": f"{host}:{OPERATOR_PORT}",
             "platform": [PLATFORM_ADDRESS],
             "log_level": "WARNING",
+            "seeds": self._seeds(endpoint),
+            "fleet_hint": len(self._endpoints()),
             **self.plan.settings,
         }
         path = self._folder / f"{endpoint.vm}.json"
         path.write_text(json.dumps(settings, indent=2))
         return str(path)
 
+    def _endpoints(self) -> list[Endpoint]:
+        services = [d for d in self.plan.documents if isinstance(d, ServiceDocument)]
+        return [endpoint for service in services for endpoint in service.endpoints]
+
+    def _seeds(self, endpoint: Endpoint) -> list[str]:
+        addresses = [e.address for e in self._endpoints() if e.vm != endpoint.vm]
+        return addresses[:SEEDS]
+
     def document(self, key: str) -> Document:
         """Return the document published last under `key`."""
         return self._document_by_key[key]
@@ -229,12 +241,12 @@
         """Publish the list of VMs, those in `leaving` as leaving."""
         vms = [
             {
-                "name": node.endpoint.vm,
-                "address": node.endpoint.address,
-                "failure_domain": node.endpoint.failure_domain,
-                "state": "leaving" if node.endpoint.vm in leaving else "live",
+                "name": endpoint.vm,
+                "address": endpoint.address,
+                "failure_domain": endpoint.failure_domain,
+                "state": "leaving" if endpoint.vm in leaving else "live",
             }
-            for node in self.nodes
+            for endpoint in self._endpoints()
         ]
         http("PUT", PLATFORM_ADDRESS, "/control/vms", vms)
 
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -17,23 +17,37 @@
     AnswerCall,
     CancelAtServer,
     DocumentInForce,
+    DocumentRead,
+    DocumentsListed,
     Event,
+    ListDocuments,
+    ListVms,
+    MembershipChanged,
+    PeerReceived,
+    PlatformFailed,
+    PlatformRequest,
+    ReadDocument,
     Record,
+    RelayReady,
     RunAtServer,
     SendPeer,
     StopRequested,
     Tick,
+    VmsListed,
+    WatchPlatform,
+    WatchReturned,
 )
 from pollenroad.entry import make_entry
-from pollenroad.exceptions import PlatformError
 from pollenroad.guard import make_guard
 from pollenroad.http import Calls, make_call_app, make_call_server
 from pollenroad.logs import LOGGER, log
+from pollenroad.messages import AttemptAnswer, Leaving, RelayMessage
 from pollenroad.models import Document
 from pollenroad.operator_http import make_operator_server
 from pollenroad.peers import Identity, Peers
 from pollenroad.platform import Platform
 from pollenroad.recent import RecentRecords
+from pollenroad.relay import RelaySettings, make_relay
 from pollenroad.settings import Settings
 from pollenroad.upstream import Upstream
 
@@ -59,9 +73,10 @@
         rng = random.Random(self.incarnation)
         self.entry = make_entry(self.incarnation, settings.failure_domain, rng)
         self.guard = make_guard(settings.service, settings.vm)
+        self.relay = make_relay(self._relay_settings(), _explain, rng)
         self.calls = Calls(self.post)
         self.upstream = Upstream(settings.server, self.post)
-        self.peers = Peers(self._identity(), self.post, self._is_member)
+        self.peers = Peers(self._identity(), self.post, self.relay.is_member)
         self.platform = Platform(settings.platform)
         app = make_call_app(self.calls)
         self._call_server = make_call_server(settings.call_address, app, settings.max_connections)
@@ -77,10 +92,22 @@
             settings.peer_key,
         )
 
+    def _relay_settings(self) -> RelaySettings:
+        settings = self.settings
+        return RelaySettings(
+            settings.vm,
+            settings.peer_address,
+            settings.failure_domain,
+            int(time.time() * 1000),
+            settings.seeds,
+            settings.fleet_hint,
+            time.time() - time.monotonic(),
+        )
+
     @property
     def ready(self) -> bool:
         """Whether this daemon holds configuration and takes work."""
-        return bool(self.document_by_key) and not self.stopping
+        return self.relay.ready and not self.stopping
 
     # --- Events and actions ---
 
@@ -99,10 +126,29 @@
 
     def _handle(self, event: Event) -> None:
         now = time.monotonic()
-        for core in (self.entry, self.guard):
+        for core in self._cores_for(event):
             for action in core.handle(event, now):
                 self._perform(action)
 
+    def _cores_for(self, event: Event) -> tuple:
+        """Return the cores that an event concerns; calls do not pass through the relay."""
+        match event:
+            case Tick() | StopRequested() | PeerReceived(_, Leaving()):
+                return (self.entry, self.guard, self.relay)
+            case PeerReceived(_, AttemptAnswer(reason="leaving")):
+                return (self.entry, self.guard, self.relay)
+            case PeerReceived(_, message) if isinstance(message, RelayMessage):
+                return (self.relay,)
+            case (
+                DocumentRead()
+                | DocumentsListed()
+                | WatchReturned()
+                | VmsListed()
+                | PlatformFailed()
+            ):
+                return (self.relay,)
+        return (self.entry, self.guard)
+
     def _perform(self, action: Action) -> None:
         match action:
             case SendPeer(peer, message):
@@ -113,6 +159,16 @@
                 self.upstream.run(attempt, timeout_s)
             case CancelAtServer(attempt_id):
                 self.upstream.cancel(attempt_id)
+            case DocumentInForce(document):
+                self.document_by_key[document.key] = document
+                log("document_in_force", key=document.key, version=document.version)
+                self.post(action)
+            case MembershipChanged():
+                self.post(action)
+            case RelayReady(documents, alone):
+                log("daemon_ready", documents=documents, alone=alone)
+            case ReadDocument() | ListDocuments() | ListVms() | WatchPlatform():
+                gevent.spawn(self._read_platform, action)
             case Record(name, fields):
                 self.recent.add(name, fields)
                 log(name, **dict(fields))
@@ -123,7 +179,7 @@
             self._timer_wake.set()
 
     def _next_due(self) -> float:
-        dues = (core.next_due() for core in (self.entry, self.guard))
+        dues = (core.next_due() for core in (self.entry, self.guard, self.relay))
         return min((due for due in dues if due is not None), default=float("inf"))
 
     def _run_timer(self) -> None:
@@ -137,42 +193,10 @@
                 self._timer_due = float("inf")
                 self.post(Tick())
 
-    # --- Configuration ---
+    # --- Platform ---
 
-    def _is_member(self, address: str) -> bool:
-        return any(
-            endpoint.address == address
-            for document in self.document_by_key.values()
-            for endpoint in getattr(document, "endpoints", ())
-        )
-
-    def _follow_platform(self) -> None:
-        revision = -1
-        while True:
-            try:
-                revision = self._read_changes(revision)
-            except PlatformError as error:
-                log("platform_failed", reason=str(error))
-                gevent.sleep(1.0)
-
-    def _read_changes(self, revision: int) -> int:
-        if revision < 0:
-            listing = self.platform.list_documents()
-            changed, revision = listing.versions, listing.revision
-        else:
-            watch = self.platform.watch(revision)
-            changed, revision = watch.changed, watch.revision
-        for key in changed:
-            self._accept(self.platform.read_document(key))
-        return revision
-
-    def _accept(self, document: Document) -> None:
-        held = self.document_by_key.get(document.key)
-        if held is not None and held.version >= document.version:
-            return
-        self.document_by_key[document.key] = document
-        log("document_in_force", key=document.key, version=document.version)
-        self.post(DocumentInForce(document))
+    def _read_platform(self, request: PlatformRequest) -> None:
+        self.post(self.platform.answer(request))
 
     # --- Life ---
 
@@ -182,7 +206,7 @@
         self._call_server.start()
         self._operator_server.start()
         gevent.spawn(self._run_timer)
-        gevent.spawn(self._follow_platform)
+        self.post(Tick())
         log("daemon_started", call_address=self.settings.call_address)
 
     def stop(self) -> None:
@@ -213,6 +237,10 @@
         self._ended.wait()
 
 
+def _explain(previous: Document | None, document: Document) -> list[str]:
+    return [f"Version {document.version} of {document.key} came into force."]
+
+
 def _log_task_failure(context, kind, value, traceback) -> None:
     if not issubclass(kind, gevent.get_hub().NOT_ERROR):
         LOGGER.error("internal_error", exc_info=(kind, value, traceback))
--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -37,6 +37,10 @@
     CatalogueEntry(402, "peer_refused", logging.WARNING, "A peer's frame or identity is refused."),
     CatalogueEntry(500, "document_in_force", logging.INFO, "A newer document came into force."),
     CatalogueEntry(501, "document_refused", logging.WARNING, "A document was refused, and why."),
+    CatalogueEntry(503, "document_conflict", logging.ERROR, "One version has two contents."),
+    CatalogueEntry(504, "membership_changed", logging.INFO, "The view of VMs changed."),
+    CatalogueEntry(505, "started_alone", logging.WARNING, "No peer answered during the start."),
+    CatalogueEntry(506, "platform_stale", logging.INFO, "The platform gave an older list of VMs."),
     CatalogueEntry(502, "platform_failed", logging.WARNING, "The platform could not be read."),
 )
 
--- a/src/pollenroad/liveness.py
+++ b/src/pollenroad/liveness.py
@@ -10,7 +10,7 @@
 from pollenroad.boundary import Action, MembershipChanged, Record, SendPeer, VmsListed
 from pollenroad.directory import Directory
 from pollenroad.links import Links
-from pollenroad.membership import ALIVE, DEAD, LEAVING, make_membership
+from pollenroad.membership import ALIVE, DEAD, GONE, LEAVING, make_membership
 from pollenroad.messages import (
     ITEMS_PER_MESSAGE,
     Heartbeat,
@@ -53,8 +53,8 @@
         self.is_refresh_due = False
 
     def unused(self) -> frozenset[str]:
-        """Return the VMs that are no neighbours: those that seem dead, unless that is doubted."""
-        return self.membership.seeming_dead() - self.view.doubtful
+        """Return the VMs that are no neighbours: gone, or dead unless that is doubted."""
+        return (self.membership.seeming_dead() - self.view.doubtful) | self.membership.gone()
 
     # --- News ---
 
@@ -94,10 +94,10 @@
         before = self.membership.status(status.vm)
         if not self.membership.apply_status(status, now):
             return False
-        was_dead = before is not None and before.state == DEAD
+        was_dead = before is not None and before.state in (DEAD, GONE)
         if was_dead and status.incarnation - before.incarnation < REFUTATION_SPAN:
             self.monitor.be_patient(status.vm, now)
-        if was_dead or status.state == DEAD:
+        if was_dead or status.state in (DEAD, GONE):
             self.is_refresh_due = True
         source = peer or "own"
         self._trail.add(
@@ -120,7 +120,7 @@
             return ()
         if beat.incarnation > known.incarnation:
             return self.learn((VmStatus(beat.vm, beat.incarnation, ALIVE),), (), peer, now)
-        if known.state == DEAD:
+        if known.state in (DEAD, GONE):
             return (SendPeer(peer, VmNews((known,))),)
         return ()
 
@@ -176,7 +176,9 @@
     def deaths(self, now: float) -> Iterator[Action]:
         """Yield the news of neighbours that their monitors miss."""
         for name in list(self.monitor.declared_dead(now)):
-            status = VmStatus(name, self._last_incarnation(name), DEAD)
+            known = self.membership.status(name)
+            state = GONE if known is not None and known.state == LEAVING else DEAD
+            status = VmStatus(name, self._last_incarnation(name), state)
             yield from self.learn((status,), (), "", now)
 
     # --- The view ---
--- a/src/pollenroad/membership.py
+++ b/src/pollenroad/membership.py
@@ -17,9 +17,10 @@
 ALIVE = "alive"
 LEAVING = "leaving"
 DEAD = "dead"
+GONE = "gone"
 LIVE = "live"
 
-_GRAVITY = {ALIVE: 0, LEAVING: 1, DEAD: 2}
+_GRAVITY = {ALIVE: 0, LEAVING: 1, DEAD: 2, GONE: 3}
 
 DOUBT_SHARE = 0.5
 """Share of a failure domain or service above which deaths at once are distrusted."""
@@ -133,9 +134,13 @@
         """Return the VMs that several daemons miss, whether that is believed or not."""
         return frozenset(s.vm for s in self.statuses() if s.state == DEAD)
 
+    def gone(self) -> frozenset[str]:
+        """Return the VMs that left and are not heard any more."""
+        return frozenset(s.vm for s in self.statuses() if s.state == GONE)
+
     def view(self, now: float) -> MembershipChanged:
         """Return what an entry is to know of VMs now."""
-        leaving = {s.vm for s in self.statuses() if s.state == LEAVING}
+        leaving = {s.vm for s in self.statuses() if s.state in (LEAVING, GONE)}
         leaving |= {x.vm for x in self.listings() if x.state == LEAVING}
         dead = self.seeming_dead()
         doubtful = frozenset(self._doubtful(dead, now))
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -134,7 +134,7 @@
     incarnation: int
     """Grows when the VM's daemon restarts, and when it refutes that it is dead."""
     state: ShortText
-    """`alive`, `leaving` or `dead`."""
+    """`alive`, `leaving`, `dead`, or `gone` where it left and is not heard any more."""
 
 
 class VmListing(Message):
--- a/src/pollenroad/operator_http.py
+++ b/src/pollenroad/operator_http.py
@@ -17,6 +17,10 @@
         "stopping": daemon.stopping,
         "in_flight": daemon.guard.in_flight,
         "open_calls": len(daemon.calls),
+        "watcher": daemon.relay.is_watcher,
+        "leaving_vms": sorted(daemon.relay.view.leaving),
+        "dead_vms": sorted(daemon.relay.view.dead),
+        "doubtful_vms": sorted(daemon.relay.view.doubtful),
         "versions": {key: doc.version for key, doc in daemon.document_by_key.items()},
     }
 
@@ -38,6 +42,11 @@
     def status():
         return _status(daemon)
 
+    @app.get("/audit")
+    def audit():
+        bottle.response.content_type = "application/json"
+        return daemon.relay.trail.to_json()
+
     @app.get("/recent/<request_id>")
     def recent(request_id: str):
         records = daemon.recent.of_request(request_id)
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -29,6 +29,7 @@
     Hello,
     LoadReport,
     PeerMessage,
+    RelayMessage,
 )
 
 DIAL_TIMEOUT_S = 0.5
@@ -175,6 +176,8 @@
         match message:
             case AttemptAnswer() | LoadReport():
                 return self._accepted_by_peer.get(peer) or self._dialled_by_peer.get(peer)
+            case _ if isinstance(message, RelayMessage):
+                return self._dialled_by_peer.get(peer) or self._accepted_by_peer.get(peer)
             case _:
                 return self._dialled_by_peer.get(peer)
 
--- a/src/pollenroad/platform.py
+++ b/src/pollenroad/platform.py
@@ -5,28 +5,44 @@
 from urllib3.exceptions import HTTPError
 
 from pollenroad.addresses import split_address
+from pollenroad.boundary import (
+    DocumentRead,
+    DocumentsListed,
+    Event,
+    ListDocuments,
+    ListVms,
+    PlatformFailed,
+    PlatformRequest,
+    ReadDocument,
+    VmsListed,
+    WatchPlatform,
+    WatchReturned,
+)
 from pollenroad.exceptions import PlatformError
-from pollenroad.models import Document
+from pollenroad.models import VmState
 
 READ_TIMEOUT_S = 2.0
-WATCH_TIMEOUT_S = 20.0
-MAX_DOCUMENT_BYTES = 1_048_576
+"""Longest wait for an answer, beyond the wait of a watch, in seconds."""
 
+OPEN_CONNECTIONS = 8
+"""Connections kept to each address of the platform."""
 
-class Listing(msgspec.Struct, frozen=True):
-    """Version of every document."""
 
+class _Listing(msgspec.Struct, frozen=True):
     revision: int
     versions: dict[str, int]
 
 
-class Watch(msgspec.Struct, frozen=True):
-    """What changed since a revision."""
-
+class _Watch(msgspec.Struct, frozen=True):
     revision: int
     changed: tuple[str, ...]
 
 
+class _Vms(msgspec.Struct, frozen=True):
+    revision: int
+    vms: tuple[VmState, ...]
+
+
 class Platform:
     """Client of the platform's configuration service.
 
@@ -36,38 +52,53 @@
 
     def __init__(self, addresses: tuple[str, ...]):
         self._pools = [
-            urllib3.HTTPConnectionPool(*split_address(address), maxsize=2, block=False)
+            urllib3.HTTPConnectionPool(
+                *split_address(address), maxsize=OPEN_CONNECTIONS, block=False
+            )
             for address in addresses
         ]
 
-    def _read(self, path: str, timeout_s: float) -> bytes:
+    def answer(self, request: PlatformRequest) -> Event:
+        """Make one read, and return its answer or `PlatformFailed`. Blocks this task."""
+        try:
+            return self._answer(request)
+        except (PlatformError, msgspec.DecodeError) as error:
+            return PlatformFailed(request, str(error))
+
+    def _answer(self, request: PlatformRequest) -> Event:
+        match request:
+            case ReadDocument(key):
+                return DocumentRead(key, self._read(f"/v1/documents/{key}"))
+            case ListDocuments():
+                listing = msgspec.json.decode(self._need("/v1/documents"), type=_Listing)
+                return DocumentsListed(listing.revision, listing.versions)
+            case WatchPlatform(after, timeout_s):
+                path = f"/v1/watch?after={after}&timeout_s={timeout_s:g}"
+                watch = msgspec.json.decode(self._need(path, timeout_s), type=_Watch)
+                return WatchReturned(watch.revision, watch.changed)
+            case ListVms():
+                data = self._need("/v1/vms")
+                vms = msgspec.json.decode(data, type=_Vms)
+                return VmsListed(vms.revision, vms.vms, len(data))
+
+    def _need(self, path: str, wait_s: float = 0.0) -> bytes:
+        data = self._read(path, wait_s)
+        if data is None:
+            raise PlatformError(f"{path}: status 404")
+        return data
+
+    def _read(self, path: str, wait_s: float = 0.0) -> bytes | None:
+        """Return the body, or None where the platform does not know the path."""
         reason = "no address"
         for pool in self._pools:
             try:
-                answer = pool.request("GET", path, timeout=timeout_s, retries=False)
+                answer = pool.request("GET", path, timeout=wait_s + READ_TIMEOUT_S, retries=False)
             except HTTPError as error:
                 reason = type(error).__name__
                 continue
             if answer.status == 200:
                 return answer.data
+            if answer.status == 404:
+                return None
             reason = f"status {answer.status}"
         raise PlatformError(f"{path}: {reason}")
-
-    def _read_as(self, path: str, kind: type, timeout_s: float = READ_TIMEOUT_S):
-        try:
-            return msgspec.json.decode(self._read(path, timeout_s), type=kind)
-        except msgspec.DecodeError as error:
-            raise PlatformError(f"{path}: {error}") from error
-
-    def list_documents(self) -> Listing:
-        """Read the versions of all documents."""
-        return self._read_as("/v1/documents", Listing)
-
-    def read_document(self, key: str) -> Document:
-        """Read one document."""
-        return self._read_as(f"/v1/documents/{key}", Document)
-
-    def watch(self, revision: int) -> Watch:
-        """Wait for a revision after `revision`, at most `WATCH_TIMEOUT_S` seconds."""
-        path = f"/v1/watch?after={revision}&timeout_s={WATCH_TIMEOUT_S:g}"
-        return self._read_as(path, Watch, WATCH_TIMEOUT_S + READ_TIMEOUT_S)
--- a/src/pollenroad/relay.py
+++ b/src/pollenroad/relay.py
@@ -320,7 +320,8 @@
         alone = not self._joining.is_answered
         reason = "no peer answered; by the platform alone" if alone else "peers answered"
         self.trail.add(self._wall(now), "startup", self._settings.vm, reason=reason)
-        yield Record("started_alone" if alone else "daemon_ready", (("reason", reason),))
+        if alone:
+            yield Record("started_alone", (("reason", reason),))
         yield RelayReady(len(self.configuration), alone)
 
 
--- a/src/pollenroad/settings.py
+++ b/src/pollenroad/settings.py
@@ -42,6 +42,11 @@
     """Events kept in memory for `pollenroad explain`."""
     stop_grace_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
     """Longest wait for requests in flight where no document states `drain_s`."""
+    seeds: tuple[Address, ...] = ()
+    """Peer addresses of some daemons that a starting one asks first, best of several racks."""
+    fleet_hint: Annotated[int, Meta(ge=1, le=1_000_000)] = 11_000
+    """Daemons that share the platform, at the most. Until a daemon knows its fleet, it bounds the
+    rate at which it reads the platform by this."""
     peer_key: Annotated[str, Meta(max_length=256)] = ""
     """Key that daemons share to authenticate each other; empty for none."""
 
--- a/src/pollenroad/standins/platform.py
+++ b/src/pollenroad/standins/platform.py
@@ -47,7 +47,13 @@
 
     def set_vms(self, vms: list[dict]) -> None:
         """Publish the list of VMs after the lag."""
-        gevent.spawn_later(self.vm_lag_s, setattr, self, "_vms", vms)
+        gevent.spawn_later(self.vm_lag_s, self._show_vms, vms)
+
+    def _show_vms(self, vms: list[dict]) -> None:
+        self.revision += 1
+        self._vms = vms
+        self._changed.set()
+        self._changed.clear()
 
     def set_stale(self, stale: bool) -> None:
         """Freeze what readers see, or thaw it."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -179,6 +179,17 @@
         fleet.post("vm-5", StopRequested())
         fleet.run_until(lambda: all("vm-5" in v.leaving for v in self.views(fleet)), 3)
 
+    def test_vms_that_leave_one_after_another_are_never_doubted(self):
+        fleet = started(count=6)
+        for name in ("vm-0", "vm-1", "vm-2", "vm-4"):
+            fleet.post(name, StopRequested())
+            fleet.run(0.5)
+            fleet.kill(name)
+            fleet.run(5)
+        view = fleet.relay("vm-3").view
+        self.assertEqual(view.leaving, {"vm-0", "vm-1", "vm-2", "vm-4"})
+        self.assertEqual(view.dead | view.doubtful, frozenset())
+
     def test_a_peer_cannot_say_that_another_vm_is_leaving(self):
         fleet = started(count=6)
         fleet.post("vm-0", PeerReceived(fleet.vms[1].address, Leaving("vm-2")))
