--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -146,8 +146,15 @@
         self._dialled_by_peer: dict[str, _Link] = {}
         self._accepted_by_peer: dict[str, _Link] = {}
         self._pending_by_peer: dict[str, list[PeerMessage]] = {}
+        self._closed_sent_bytes = 0
         self._server = StreamServer(split_address(identity.address), self._accept, backlog=1024)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of frames sent to peers so far."""
+        links = [*self._dialled_by_peer.values(), *self._accepted_by_peer.values()]
+        return self._closed_sent_bytes + sum(link.sent_bytes for link in links)
+
     def start(self) -> None:
         """Listen for peers."""
         self._server.start()
@@ -221,6 +228,7 @@
     def _on_dialled_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._dialled_by_peer.get(link.peer) is link:
             del self._dialled_by_peer[link.peer]
+            self._closed_sent_bytes += link.sent_bytes
         log("peer_lost", peer=link.peer, reason="closed")
         self._report_unsent(unsent)
         self._post(PeerLost(link.peer))
@@ -268,3 +276,4 @@
     def _on_accepted_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._accepted_by_peer.get(link.peer) is link:
             del self._accepted_by_peer[link.peer]
+            self._closed_sent_bytes += link.sent_bytes
