Add pollenroad audit, and keep the age of the last read honest over hops

Cause: trails of many daemons had to be read one by one; the age of the last read of the platform that heartbeats pass on looked younger with each hop's delay, so that silence was noticed late. Change: commands/audit.py merges trails into one time line; each hop adds 0.25 s to the age.

--- /dev/null
+++ b/src/pollenroad/commands/audit.py
@@ -0,0 +1,84 @@
+"""`pollenroad audit`: accepted and refused configuration of many daemons, as one time line."""
+
+import sys
+import time
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import msgspec
+import urllib3
+from gevent.pool import Pool
+from urllib3.exceptions import HTTPError
+
+from pollenroad.audit import AuditEntry, merge_trails, parse_trail
+
+OPEN_REQUESTS = 64
+"""Daemons asked at one time."""
+
+TIMEOUT_S = 5.0
+"""Longest wait for one daemon, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Trail:
+    operator: str
+    entries: tuple[AuditEntry, ...] = ()
+    failure: str = ""
+
+
+def _read_trail(operator: str) -> _Trail:
+    url = f"http://{operator}/audit"
+    try:
+        answer = urllib3.request("GET", url, timeout=TIMEOUT_S, retries=False)
+        if answer.status != 200:
+            return _Trail(operator, failure=f"status {answer.status}")
+        return _Trail(operator, tuple(parse_trail(answer.data)))
+    except (HTTPError, msgspec.DecodeError) as error:
+        return _Trail(operator, failure=str(error))
+
+
+def _lines(entry: AuditEntry) -> Iterator[str]:
+    stamp = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(entry.wall_time_s))
+    fraction = f"{entry.wall_time_s % 1:.3f}"[1:]
+    version = f" version {entry.version}" if entry.version else ""
+    source = f" from {entry.source}" if entry.source else ""
+    reason = f": {entry.reason}" if entry.reason else ""
+    yield f"{stamp}{fraction}Z {entry.vm} {entry.action} {entry.subject}{version}{source}{reason}"
+    yield from (f"    {sentence}" for sentence in entry.sentences)
+
+
+def _selected(entries: Iterable[AuditEntry], subject: str, action: str) -> Iterator[AuditEntry]:
+    for entry in entries:
+        if subject in ("", entry.subject) and action in ("", entry.action):
+            yield entry
+
+
+def run(
+    *operators: str, json: bool = False, subject: str = "", action: str = "", limit: int = 1000
+) -> int:
+    """Show what daemons accepted, refused and why, with version, source and time.
+
+    Args:
+        operators: Operator addresses of the daemons, `HOST:PORT` each.
+        json: Print one JSON array instead of lines.
+        subject: Only this document key or VM.
+        action: Only accepted, refused, membership or startup.
+        limit: Newest entries shown, at the most.
+
+    Returns:
+        0 if every daemon answered, 1 if some did not (they are named) or none was given.
+    """
+    if not operators:
+        print("give at least one operator address, HOST:PORT", file=sys.stderr)
+        return 1
+    trails = list(Pool(OPEN_REQUESTS).imap_unordered(_read_trail, operators))
+    merged = merge_trails(trail.entries for trail in trails)
+    shown = list(_selected(merged, subject, action))[-limit:]
+    if json:
+        print(msgspec.json.encode(shown).decode())
+    else:
+        print("\n".join(line for entry in shown for line in _lines(entry)))
+    failed = [trail for trail in trails if trail.failure]
+    for trail in failed:
+        print(f"{trail.operator}: {trail.failure}", file=sys.stderr)
+    return 1 if failed else 0
--- a/src/pollenroad/relay.py
+++ b/src/pollenroad/relay.py
@@ -61,6 +61,12 @@
 FRESH_S = 30.0
 """Age of the last read of the platform that counts as lately, in seconds."""
 
+NEVER_S = 1e9
+"""Age that is told while no read of the platform is known, in seconds."""
+
+HOP_AGE_S = 0.25
+"""Added to the age of a read with each hop, so that delays never make it look younger."""
+
 LISTED_KEY = "#listed"
 """Key of the directory for VMs known only from the platform's list, during the start."""
 
@@ -126,6 +132,10 @@
         """Tell whether a peer address belongs to a known daemon; before any is known, all do."""
         return not len(self.directory) or self.directory.name_at(address) is not None
 
+    def platform_age_s(self, now: float) -> float:
+        """Return the seconds since any daemon is known to have read the platform."""
+        return float("inf") if self._platform_seen_at is None else now - self._platform_seen_at
+
     def next_due(self) -> float:
         """Return when `Tick` is next needed, in monotonic seconds."""
         return self._tick_at
@@ -235,7 +245,7 @@
         return self._links.may_ask_at_start(peer, now)
 
     def _heartbeats(self, now: float) -> Iterator[Action]:
-        age_s = 1e9 if self._platform_seen_at is None else now - self._platform_seen_at
+        age_s = min(NEVER_S, self.platform_age_s(now) + HOP_AGE_S)
         beat = Heartbeat(
             self._settings.vm,
             self._liveness.incarnation,
@@ -296,8 +306,7 @@
         self._reads.set_fleet(len(self.directory), watcher_count)
 
     def _read_platform(self, now: float) -> Iterable[Action]:
-        age_s = float("inf") if self._platform_seen_at is None else now - self._platform_seen_at
-        return self._reads.due(now, age_s, bool(len(self.directory)))
+        return self._reads.due(now, self.platform_age_s(now), bool(len(self.directory)))
 
     def _join(self, now: float) -> Iterator[Action]:
         links = self._links.addresses(now)
@@ -307,7 +316,7 @@
         if not len(self.configuration):
             return
         settled = self._spreading.is_settled and self._reads.is_settled
-        is_read = self._platform_seen_at is not None and now - self._platform_seen_at < FRESH_S
+        is_read = self.platform_age_s(now) < FRESH_S
         if self._joining.is_over(len(links), settled, is_read, now):
             yield from self._start_work(now)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -58,6 +58,24 @@
         self.assert_in_force(fleet, 2, 3)
         self.assert_never_back(fleet)
 
+    def test_a_rack_of_daemons_replaced_at_once_ends_with_the_newest(self):
+        fleet = started()
+        rack = [f"vm-{i}" for i in range(8)]
+        for name in rack:
+            fleet.kill(name)
+        self.publish(fleet, 2)
+        fleet.start(*rack)
+        self.assert_in_force(fleet, 2, 16)
+        fleet.run_until(lambda: len(fleet.ready) == 24, 10)
+        self.assert_never_back(fleet)
+
+    def test_silence_of_the_platform_is_noticed_whatever_the_delay_of_links(self):
+        fleet = started(count=16)
+        fleet.platform.down = True
+        fleet.run(60)
+        for relay in fleet.relay_by_address.values():
+            self.assertGreater(relay.platform_age_s(fleet.now), 45)
+
     def test_a_stale_platform_takes_nothing_back_and_a_change_follows_when_it_ends(self):
         fleet = started()
         fleet.platform.freeze()
