--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -71,7 +71,7 @@
         self._timer_wake = Flag()
         self._timer_due = float("inf")
         rng = random.Random(self.incarnation)
-        self.entry = make_entry(self.incarnation, settings.failure_domain, rng)
+        self.entry = make_entry(self.incarnation, settings.failure_domain, rng, settings.vm)
         self.guard = make_guard(settings.service, settings.vm)
         self.relay = make_relay(self._relay_settings(), _explain, rng)
         self.calls = Calls(self.post)
