--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -31,6 +31,7 @@
     LimitGrant,
     LoadReport,
     PeerMessage,
+    RelayMessage,
 )
 
 DIAL_TIMEOUT_S = 0.5
@@ -179,8 +180,15 @@
         self._pending_by_peer: dict[str, list[PeerMessage]] = {}
         self.cut_peers: frozenset[str] = frozenset()
         """Peers to which nothing is sent, for trying a partition."""
+        self._closed_sent_bytes = 0
         self._server = StreamServer(split_address(identity.address), self._accept, backlog=1024)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of frames sent to peers so far."""
+        links = [*self._dialled_by_peer.values(), *self._accepted_by_peer.values()]
+        return self._closed_sent_bytes + sum(link.sent_bytes for link in links)
+
     def start(self) -> None:
         """Listen for peers."""
         self._server.start()
@@ -211,6 +219,8 @@
         match message:
             case AttemptAnswer() | LoadReport() | Leaving() | LimitGrant():
                 return self._accepted_by_peer.get(peer) or self._dialled_by_peer.get(peer)
+            case _ if isinstance(message, RelayMessage):
+                return self._dialled_by_peer.get(peer) or self._accepted_by_peer.get(peer)
             case _:
                 return self._dialled_by_peer.get(peer)
 
@@ -254,6 +264,7 @@
     def _on_dialled_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._dialled_by_peer.get(link.peer) is link:
             del self._dialled_by_peer[link.peer]
+            self._closed_sent_bytes += link.sent_bytes
         log("peer_lost", peer=link.peer, reason="closed")
         self._report_unsent(unsent)
         self._post(PeerLost(link.peer))
@@ -301,3 +312,4 @@
     def _on_accepted_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._accepted_by_peer.get(link.peer) is link:
             del self._accepted_by_peer[link.peer]
+            self._closed_sent_bytes += link.sent_bytes
--- a/src/pollenroad/settings.py
+++ b/src/pollenroad/settings.py
@@ -44,6 +44,11 @@
     """Longest wait for requests in flight where no document states `drain_s`."""
     allow_cuts: bool = False
     """Whether operators may cut this daemon off from peers, to try a partition."""
+    seeds: tuple[Address, ...] = ()
+    """Peer addresses of some daemons that a starting one asks first, best of several racks."""
+    fleet_hint: Annotated[int, Meta(ge=1, le=1_000_000)] = 11_000
+    """Daemons that share the platform, at the most. Until a daemon knows its fleet, it bounds the
+    rate at which it reads the platform by this."""
     peer_key: Annotated[str, Meta(max_length=256)] = ""
     """Key that daemons share to authenticate each other; empty for none."""
 
