Send nothing to endpoints on leaving or dead VMs

Cause: the relay told which VMs leave or are dead, and the entry did not listen. Change: the entry hands the set to its routers, which choose their subset without them, so that a bounded subset is refilled. Conclusion: a guard still refuses by itself; this spares the attempt.

--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -15,6 +15,7 @@
     CallArrived,
     DocumentInForce,
     Event,
+    MembershipChanged,
     PeerLost,
     PeerReceived,
     SendPeer,
@@ -57,6 +58,7 @@
         self._document_by_key: dict[str, ServiceDocument] = {}
         self._workspace_by_name: dict[str, WorkspaceDocument] = {}
         self._service_by_key: dict[str, Service] = {}
+        self._unavailable_vms: frozenset[str] = frozenset()
         self._call_by_id: dict[str, OpenCall] = {}
         self._attempt_by_id: dict[str, OpenAttempt] = {}
         self._timers = Timers()
@@ -96,6 +98,8 @@
                 yield from self._on_peer_lost(peer, now)
             case DocumentInForce(document):
                 self._on_document(document, now)
+            case MembershipChanged():
+                self._on_membership(event)
             case Tick():
                 yield from self._on_tick(now)
 
@@ -112,6 +116,11 @@
             case WorkspaceDocument():
                 self._workspace_by_name[document.key] = document
 
+    def _on_membership(self, change: MembershipChanged) -> None:
+        self._unavailable_vms = change.leaving | change.dead
+        for service in self._service_by_key.values():
+            service.router.exclude(self._unavailable_vms)
+
     def _service(self, key: str, now: float) -> Service | None:
         service = self._service_by_key.get(key)
         if service is not None:
@@ -120,6 +129,7 @@
         if document is None:
             return None
         router = make_router(document, self._place, self._rng)
+        router.exclude(self._unavailable_vms)
         self._service_by_key[key] = Service(document, router, now)
         return self._service_by_key[key]
 
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -112,6 +112,7 @@
         self._rng = rng
         self._turns = itertools.count()
         self._load_by_name: dict[str, EndpointLoad] = {}
+        self._unavailable_vms: frozenset[str] = frozenset()
         self._latencies_by_class: dict[str, Latencies] = {}
         self.configure(document)
 
@@ -121,11 +122,23 @@
         """Take a newer document; what is known of endpoints that remain is kept."""
         self._policy = POLICY_BY_NAME[document.routing]
         self._hedged_names = {c.name for c in document.classes if c.hedge and c.idempotent}
+        self._document = document
+        self._choose_subset()
+
+    def exclude(self, vms: frozenset[str]) -> None:
+        """Send nothing to endpoints on `vms`, which are leaving or dead."""
+        if vms != self._unavailable_vms:
+            self._unavailable_vms = vms
+            self._choose_subset()
+
+    def _choose_subset(self) -> None:
+        document = self._document
         out = document.out_of_service
+        out_vms = self._unavailable_vms.union(out.vms)
         in_service = [
             endpoint
             for endpoint in document.endpoints
-            if endpoint.failure_domain not in out.failure_domains and endpoint.vm not in out.vms
+            if endpoint.failure_domain not in out.failure_domains and endpoint.vm not in out_vms
         ]
         subset = subset_of(
             in_service, document.subset_size, self._place.ring_place, self._place.failure_domain
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -44,6 +44,13 @@
                     used.add(choice.endpoint.name)
                 self.assertEqual(used, {"booking-0", "booking-2", "booking-3"})
 
+    def test_endpoints_on_leaving_or_dead_vms_get_nothing_until_they_are_back(self):
+        router = self.make()
+        router.exclude(frozenset({"vm-0", "vm-1", "vm-3"}))
+        self.assertEqual(set(self.choices(router, 0.0)), {"booking-2", "booking-4"})
+        router.exclude(frozenset())
+        self.assertEqual(set(self.choices(router, 0.0)), {"booking-0", "booking-3"})
+
     def test_the_own_failure_domain_is_preferred_until_it_is_loaded(self):
         router = self.make()
         self.assertEqual(set(self.choices(router, 0.0)), {"booking-0", "booking-3"})
