--- a/src/pollenroad/upstream.py
+++ b/src/pollenroad/upstream.py
@@ -1,23 +1,27 @@
-"""The exchange with the server beside a guard: HTTP over loopback by urllib3."""
+"""The exchange with the server beside a guard: HTTP over loopback by urllib3.
 
+Connections are kept here rather than in urllib3's pool, whose check for a dropped connection costs
+a poll through the event loop for each request.
+"""
+
+import socket
 from collections.abc import Callable
+from http.client import HTTPException
 
 import gevent
 import urllib3
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-    TimeoutError,
-)
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from pollenroad import headers
 from pollenroad.addresses import split_address
-from pollenroad.boundary import Event, ServerAnswered, ServerFailed, ServerShed
+from pollenroad.boundary import Event, ServerAnswered, ServerFailed, ServerProbed, ServerShed
+from pollenroad.capacity import incarnation_of
 from pollenroad.logs import log
 from pollenroad.messages import Attempt, Response
 
 CONNECT_TIMEOUT_S = 0.25
+PROBE_PATH = "/-/load"
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -45,8 +49,50 @@
     raise _UnframedError("answer has neither Content-Length nor chunked coding")
 
 
+def _is_dropped(connection: HTTPConnection) -> bool:
+    """Tell whether the server closed an idle connection or sent more than its answer."""
+    try:
+        connection.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
+class _Connections:
+    """Idle connections to one server; each is lent to one exchange at a time."""
+
+    def __init__(self, server: str):
+        self._host, self._port = split_address(server)
+        self._idle: list[HTTPConnection] = []
+
+    def take(self) -> HTTPConnection:
+        """Return an idle connection that is still open, or a new one.
+
+        Raises:
+            NewConnectionError: If the server does not accept a connection.
+            ConnectTimeoutError: If it does not within `CONNECT_TIMEOUT_S`.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if not _is_dropped(connection):
+                return connection
+            connection.close()
+        connection = HTTPConnection(self._host, self._port, timeout=CONNECT_TIMEOUT_S)
+        connection.connect()
+        return connection
+
+    def give_back(self, connection: HTTPConnection, answer: urllib3.HTTPResponse) -> None:
+        """Keep a connection whose exchange ended whole."""
+        if answer.headers.get("connection", "").lower() == "close" or connection.sock is None:
+            connection.close()
+        else:
+            self._idle.append(connection)
+
+
 class Upstream:
-    """Connections to one server, at most `connections` of them, one task for each exchange.
+    """Exchanges with one server, one task for each.
 
     Args:
         server: Address of the server.
@@ -55,9 +101,9 @@
 
     def __init__(self, server: str, post: Callable[[Event], None]):
         self._post = post
-        host, port = split_address(server)
-        self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=256, block=True)
+        self._connections = _Connections(server)
         self._task_by_attempt: dict[str, gevent.Greenlet] = {}
+        self._begun_attempts: set[str] = set()
 
     def run(self, attempt: Attempt, timeout_s: float) -> None:
         """Start the exchange of one attempt; its end is posted as an event."""
@@ -67,10 +113,30 @@
     def cancel(self, attempt_id: str) -> None:
         """Stop an exchange and close its connection, which the server sees as a cancellation."""
         task = self._task_by_attempt.pop(attempt_id, None)
-        if task is not None:
-            task.kill(block=False)
+        if task is None:
+            return
+        task.kill(block=False)
+        if attempt_id not in self._begun_attempts:
+            self._post(ServerFailed(attempt_id, reached=False, reason="cancelled"))
+
+    def probe(self, timeout_s: float) -> None:
+        """Start a probe of the server; its end is posted as an event."""
+        gevent.spawn(self._probe, timeout_s)
+
+    def _probe(self, timeout_s: float) -> None:
+        event = ServerProbed(succeeded=False)
+        try:
+            answer = self._pool.urlopen("GET", PROBE_PATH, timeout=timeout_s, retries=False)
+            fields = tuple(answer.headers.items())
+            incarnation = incarnation_of(Response(answer.status, fields))
+            event = ServerProbed(answer.status == 200, incarnation)
+        except (HTTPError, OSError):
+            pass
+        finally:
+            self._post(event)
 
     def _exchange(self, attempt: Attempt, timeout_s: float) -> None:
+        self._begun_attempts.add(attempt.attempt_id)
         event = ServerFailed(attempt.attempt_id, reached=True, reason="cancelled")
         try:
             event = self._outcome(attempt, timeout_s)
@@ -79,17 +145,20 @@
             event = ServerFailed(attempt.attempt_id, reached=True, reason="server-error")
         finally:
             self._task_by_attempt.pop(attempt.attempt_id, None)
+            self._begun_attempts.discard(attempt.attempt_id)
             self._post(event)
 
     def _outcome(self, attempt: Attempt, timeout_s: float) -> Event:
         attempt_id = attempt.attempt_id
         try:
-            answer = self._request(attempt, timeout_s)
-        except (NewConnectionError, ConnectTimeoutError):
+            connection = self._connections.take()
+        except (NewConnectionError, ConnectTimeoutError, OSError):
             return ServerFailed(attempt_id, reached=False, reason="server-unreachable")
+        try:
+            answer = self._request(connection, attempt, timeout_s)
         except TimeoutError:
             return ServerFailed(attempt_id, reached=True, reason="deadline")
-        except (HTTPError, OSError) as error:
+        except (HTTPError, HTTPException, OSError) as error:
             return ServerFailed(attempt_id, reached=True, reason=f"server-{type(error).__name__}")
         if headers.NOT_RUN in answer.headers:
             draining = answer.headers[headers.NOT_RUN] == "draining"
@@ -97,18 +166,26 @@
         fields = tuple(headers.end_to_end(answer.headers.items()))
         return ServerAnswered(attempt_id, Response(answer.status, fields, answer.data))
 
-    def _request(self, attempt: Attempt, timeout_s: float) -> urllib3.HTTPResponse:
+    def _request(
+        self, connection: HTTPConnection, attempt: Attempt, timeout_s: float
+    ) -> urllib3.HTTPResponse:
         request = attempt.request
-        answer = self._pool.urlopen(
-            request.method,
-            request.path,
-            body=request.body or None,
-            headers=_request_headers(attempt, timeout_s),
-            timeout=urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s),
-            retries=False,
-            redirect=False,
-            decode_content=False,
-            preload_content=True,
-        )
-        _check_framing(request.method, answer)
+        whole = False
+        connection.sock.settimeout(timeout_s)
+        try:
+            connection.request(
+                request.method,
+                request.path,
+                body=request.body or None,
+                headers=_request_headers(attempt, timeout_s),
+                preload_content=True,
+                decode_content=False,
+            )
+            answer = connection.getresponse()
+            _check_framing(request.method, answer)
+            whole = True
+        finally:
+            if not whole:
+                connection.close()
+        self._connections.give_back(connection, answer)
         return answer
