Bound retries and hedges over all levels of calls together

Cause: a new test with 11 levels, where every server passes a refusal up, counted 2.87 attempts at the end for each call: each level paid 10% into its budget for retried calls as well. Ruled out: one allowance for the whole path (a failure at an upper level could never be retried); payment by original calls only (still 1 + 0.1 a level). Change: the allowance halves at each level and is nothing below a retry or hedge; reruns and hedges are paid by it, guard refusals are not, because they cause no work below. Hedges moved to their own module, with a look when the doubt may have grown instead of steady polling.

--- a/src/pollenroad/calls.py
+++ b/src/pollenroad/calls.py
@@ -5,6 +5,7 @@
 from pollenroad.boundary import CallArrived, Record
 from pollenroad.messages import Attempt
 from pollenroad.models import Endpoint, RequestClass
+from pollenroad.retries import ALLOWANCE_BELOW
 from pollenroad.verdicts import Verdict
 
 
@@ -18,13 +19,31 @@
     deadline: float
     """Monotonic time after which the call has failed."""
     attempts: int = 0
-    retries: int = 0
-    """Attempts beyond the first that took from the retry budget."""
+    may_run_again: bool = False
+    """Whether an attempt was added that may make the calls below this one run again."""
     maybe_ran: bool = False
     """Whether an attempt ended with an unknown verdict."""
     tried_names: set[str] = field(default_factory=set)
     open_attempt_ids: set[str] = field(default_factory=set)
 
+    @property
+    def allowance(self) -> float:
+        """Share from 0 to 1 with which this call pays into the retry and hedge budgets."""
+        return min(1.0, self.call.retry_budget)
+
+    @property
+    def allowance_below(self) -> float:
+        """Allowance of the calls that the next attempt causes."""
+        return 0.0 if self.may_run_again else self.allowance * ALLOWANCE_BELOW
+
+    @property
+    def may_hedge(self) -> bool:
+        """Whether a second attempt may race the one that is open."""
+        request_class = self.request_class
+        if not (request_class.hedge and request_class.idempotent):
+            return False
+        return self.attempts < request_class.max_attempts and self.allowance > 0
+
 
 @dataclass(frozen=True, slots=True)
 class OpenAttempt:
@@ -36,6 +55,34 @@
     sent_at: float
 
 
+def make_attempt(open_call: OpenCall, attempt_id: str, version: int, now: float) -> Attempt:
+    """Make the next attempt of a call, and count it.
+
+    Args:
+        open_call: The call.
+        attempt_id: Unique over all daemons and restarts.
+        version: Version of the service's document.
+        now: Monotonic time in seconds.
+    """
+    call = open_call.call
+    open_call.attempts += 1
+    return Attempt(
+        attempt_id=attempt_id,
+        request_id=call.request_id,
+        service=call.service,
+        customer=call.customer,
+        request_class=open_call.request_class.name,
+        idempotent=open_call.request_class.idempotent,
+        remaining_ms=(open_call.deadline - now) * 1000,
+        request=call.request,
+        number=open_call.attempts,
+        retry_budget=open_call.allowance_below,
+        depth=call.depth,
+        config_version=version,
+        sent_ms=now * 1000,
+    )
+
+
 def sent_record(attempt: Attempt, endpoint: Endpoint, why: str) -> Record:
     """Make the record of an attempt that is handed over, with the reason for its endpoint."""
     fields = (
--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -21,28 +21,22 @@
     SendPeer,
     Tick,
 )
-from pollenroad.calls import OpenAttempt, OpenCall, answered_record, ended_record, sent_record
+from pollenroad.calls import (
+    OpenAttempt,
+    OpenCall,
+    answered_record,
+    ended_record,
+    make_attempt,
+    sent_record,
+)
 from pollenroad.limits import Outcome, make_limits
-from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LimitGrant, LoadReport
+from pollenroad.messages import AttemptAnswer, CancelAttempt, LimitGrant, LoadReport
 from pollenroad.models import ServiceDocument, WorkspaceDocument
-from pollenroad.retries import TEACHING_REASONS, allowance_below
 from pollenroad.routing import RouterPlace, make_router
 from pollenroad.services import Service
 from pollenroad.subsets import place_of
 from pollenroad.timers import Timers
-from pollenroad.verdicts import Verdict, may_retry
-
-MIN_SPARE_SHARE = 0.25
-"""Share of the known capacity that must be free for a hedge."""
-
-MIN_DOUBT = 0.15
-"""Chance of a stall from which an attempt is hedged while the hedge budget is full."""
-
-MAX_DOUBT = 0.7
-"""Chance of a stall from which an attempt is hedged while the hedge budget is nearly spent."""
-
-WATCH_STEP = 0.2
-"""Time between two looks at a late attempt, in typical latencies."""
+from pollenroad.verdicts import Verdict
 
 SERVER_ERROR = 500
 """Lowest HTTP status that counts as a failure of the server."""
@@ -182,8 +176,7 @@
 
     def _send_first_attempt(self, open_call: OpenCall, now: float) -> Iterator[Action]:
         service = self._service_by_key[open_call.call.service]
-        service.retry_budget.first_attempt()
-        service.hedge_budget.first_attempt()
+        service.first_attempt(open_call.allowance)
         yield from self._send_attempt(open_call, "first", now)
 
     def _send_attempt(self, open_call: OpenCall, role: str, now: float) -> Iterator[Action]:
@@ -194,7 +187,9 @@
             if not open_call.open_attempt_ids:
                 yield from self._finish(open_call, Verdict.NOT_RUN, "no-endpoint", now)
             return
-        attempt = self._make_attempt(open_call, service, now)
+        self._attempt_count += 1
+        attempt_id = f"{self._incarnation}-{self._attempt_count}"
+        attempt = make_attempt(open_call, attempt_id, service.document.version, now)
         name = choice.endpoint.name
         open_call.tried_names.add(name)
         open_call.open_attempt_ids.add(attempt.attempt_id)
@@ -202,30 +197,10 @@
             attempt.attempt_id, call.call_id, choice.endpoint, now
         )
         service.router.sent(name, attempt.attempt_id, open_call.request_class.name, now)
-        self._set_hedge_timer(open_call, name, now)
+        self._look_later(open_call, name, now, now)
         yield sent_record(attempt, choice.endpoint, f"{role}:{choice.why}")
         yield SendPeer(choice.endpoint.address, attempt)
 
-    def _make_attempt(self, open_call: OpenCall, service: Service, now: float) -> Attempt:
-        call = open_call.call
-        self._attempt_count += 1
-        open_call.attempts += 1
-        return Attempt(
-            attempt_id=f"{self._incarnation}-{self._attempt_count}",
-            request_id=call.request_id,
-            service=call.service,
-            customer=call.customer,
-            request_class=open_call.request_class.name,
-            idempotent=open_call.request_class.idempotent,
-            remaining_ms=(open_call.deadline - now) * 1000,
-            request=call.request,
-            number=open_call.attempts,
-            retry_budget=allowance_below(call.retry_budget, open_call.attempts),
-            depth=call.depth,
-            config_version=service.document.version,
-            sent_ms=now * 1000,
-        )
-
     # --- Answers ---
 
     def _on_answer(self, answer: AttemptAnswer, now: float) -> Iterator[Action]:
@@ -283,31 +258,12 @@
             open_call.maybe_ran = True
         if open_call.open_attempt_ids:
             return
-        if self._may_try_again(open_call, verdict, reason, now):
+        service = self._service_by_key[open_call.call.service]
+        if service.try_again(open_call, verdict, reason, now):
             yield from self._send_attempt(open_call, "retry", now)
             return
         yield from self._finish(open_call, verdict, reason, now, retry_after_ms=retry_after_ms)
 
-    def _may_try_again(
-        self, open_call: OpenCall, verdict: Verdict, reason: str, now: float
-    ) -> bool:
-        idempotent = open_call.request_class.idempotent
-        if open_call.attempts >= open_call.request_class.max_attempts:
-            return False
-        if now >= open_call.deadline:
-            return False
-        if not may_retry(verdict, idempotent) or (open_call.maybe_ran and not idempotent):
-            return False
-        if reason in TEACHING_REASONS:
-            return True
-        if open_call.call.retry_budget < open_call.retries + 1:
-            return False
-        service = self._service_by_key[open_call.call.service]
-        if not service.retry_budget.spend(now):
-            return False
-        open_call.retries += 1
-        return True
-
     def _finish(
         self,
         open_call: OpenCall,
@@ -360,13 +316,12 @@
 
     # --- Time ---
 
-    def _set_hedge_timer(self, open_call: OpenCall, name: str, now: float) -> None:
-        request_class = open_call.request_class
-        if not (request_class.hedge and request_class.idempotent):
+    def _look_later(self, open_call: OpenCall, name: str, sent_at: float, now: float) -> None:
+        if not open_call.may_hedge:
             return
-        router = self._service_by_key[open_call.call.service].router
-        due = now + router.watch_after_s(name, request_class.name)
-        if due < open_call.deadline and open_call.attempts < request_class.max_attempts:
+        hedges = self._service_by_key[open_call.call.service].hedges
+        due = hedges.next_look(name, open_call.request_class.name, sent_at, now)
+        if due < open_call.deadline:
             self._timers.set(("hedge", open_call.call.call_id), due)
 
     def _on_tick(self, now: float) -> Iterator[Action]:
@@ -380,21 +335,17 @@
             yield from self._finish(open_call, verdict, "deadline", now)
 
     def _hedge(self, open_call: OpenCall, now: float) -> Iterator[Action]:
-        service = self._service_by_key[open_call.call.service]
-        if len(open_call.open_attempt_ids) != 1 or open_call.call.retry_budget < 1:
+        if len(open_call.open_attempt_ids) != 1 or not open_call.may_hedge:
             return
         (attempt_id,) = open_call.open_attempt_ids
-        name = self._attempt_by_id[attempt_id].endpoint.name
-        class_name = open_call.request_class.name
-        fullness = service.hedge_budget.fullness(now)
-        least_doubt = MAX_DOUBT - (MAX_DOUBT - MIN_DOUBT) * fullness
-        if service.router.doubt(name, class_name, now) < least_doubt:
-            pause_s = WATCH_STEP * service.router.typical_s(class_name)
-            self._timers.set(("hedge", open_call.call.call_id), now + pause_s)
-            return
-        if service.router.spare_share(now) < MIN_SPARE_SHARE:
+        attempt = self._attempt_by_id[attempt_id]
+        name = attempt.endpoint.name
+        hedges = self._service_by_key[open_call.call.service].hedges
+        if not hedges.is_doubtful(name, open_call.request_class.name, now):
+            self._look_later(open_call, name, attempt.sent_at, now)
             return
-        if service.hedge_budget.spend(now):
+        if hedges.spend(now):
+            open_call.may_run_again = True
             yield from self._send_attempt(open_call, "hedge", now)
 
 
--- a/src/pollenroad/loads.py
+++ b/src/pollenroad/loads.py
@@ -57,10 +57,10 @@
 
 
 STALL_PRIOR = 0.2
-"""Chance that a silent endpoint is stalled, before its open attempts are looked at."""
+"""Odds that a silent endpoint is stalled, before its open attempts are looked at."""
 
 MIN_STALL_PRIOR = 0.005
-"""Chance that an endpoint is stalled which answered this moment."""
+"""Odds that an endpoint is stalled which answered this moment."""
 
 SILENCE_S = 0.2
 """Seconds after an answer until an endpoint counts as silent."""
@@ -208,12 +208,15 @@
         if self._given_up is not None and now < self._given_up_until:
             yield self._given_up
 
+    def stall_prior(self, now: float) -> float:
+        """Return the odds of a stall before the open attempts are looked at."""
+        silence = min(1.0, (now - self._answered_at) / SILENCE_S)
+        return MIN_STALL_PRIOR + (STALL_PRIOR - MIN_STALL_PRIOR) * silence
+
     def stall_chance(self, now: float) -> float:
         """Estimate the chance that the endpoint answers nothing at present, from 0 to 1."""
         surprise = sum(s.surprise(self._answered_at, now) for s in self._samples(now))
-        silence = min(1.0, (now - self._answered_at) / SILENCE_S)
-        prior = MIN_STALL_PRIOR + (STALL_PRIOR - MIN_STALL_PRIOR) * silence
-        odds = prior * math.exp(min(surprise, MAX_SURPRISE))
+        odds = self.stall_prior(now) * math.exp(min(surprise, MAX_SURPRISE))
         return odds / (1 + odds)
 
     def oldest_s(self, now: float) -> float:
--- a/src/pollenroad/retries.py
+++ b/src/pollenroad/retries.py
@@ -1,9 +1,11 @@
 """Budgets for attempts beyond the first, so that retries and hedges never amplify an outage.
 
-Three bounds hold together. Each service has a token bucket at every entry: first attempts pay in
-a share of a token, a retry takes a whole one. Each call has its class's `max_attempts`. And the
-allowance that travels with a call falls by one with each retry, so that a retry causes no further
-retries in the calls below it.
+Each service has token buckets at every entry: first attempts pay in a share of a token, a further
+attempt takes a whole one. A retry after a guard's refusal causes no work below, so it needs a token
+of the plain budget only. A retry of what may have run, and a hedge, make the calls below run again:
+they also need one of a budget into which a call pays by its allowance. The allowance travels with
+the call: it halves at each level and is nothing below a retry or hedge, so that the shares of all
+levels add up to less than twice that of the first.
 """
 
 from dataclasses import dataclass
@@ -19,6 +21,12 @@
 HEDGE_BURST = 300.0
 """First attempts whose shares a full hedge budget holds: one stall makes many attempts late."""
 
+ALLOWANCE_BELOW = 0.5
+"""Part of a call's allowance that the calls below its first attempt get."""
+
+SERVER_REASONS = frozenset({"shed"})
+"""Refusals by the server itself, which may have made calls of its own before."""
+
 TEACHING_REASONS = frozenset(
     {"leaving", "out-of-service", "not-here", "server-down", "unreachable"}
 )
@@ -46,9 +54,9 @@
     def _gain(self, tokens: float) -> None:
         self.tokens = min(self.capacity, self.tokens + tokens)
 
-    def first_attempt(self) -> None:
-        """Pay in the share of one first attempt."""
-        self._gain(self.ratio)
+    def first_attempt(self, allowance: float = 1.0) -> None:
+        """Pay in the share of one first attempt of a call with an allowance from 0 to 1."""
+        self._gain(self.ratio * allowance)
 
     def fullness(self, now: float) -> float:
         """Return the share of the bucket that is full, from 0 to 1."""
@@ -75,13 +83,3 @@
     capacity = rules.hedge_ratio * HEDGE_BURST
     per_s = rules.min_per_s * rules.hedge_ratio
     return Budget(rules.hedge_ratio, per_s, capacity, min(1.0, capacity), now)
-
-
-def allowance_below(allowance: float, number: int) -> float:
-    """Return the retries that calls below attempt `number` may spend.
-
-    Args:
-        allowance: Retries that the call itself may spend.
-        number: 1 for the first attempt of the call.
-    """
-    return max(0.0, allowance - (number - 1))
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -15,14 +15,14 @@
 FIRST_GUESS_S = 0.02
 """Latency in seconds that is assumed while nothing is known."""
 
-WATCH_QUANTILE = 0.5
-"""Quantile of a class's latency after which an open attempt is watched for a stall."""
+TRIAL_LOOK = 0.5
+"""Age from which an attempt at a straggler is looked at, in typical latencies."""
 
-TRIAL_WATCH = 0.5
-"""Age from which an attempt at a straggler is watched, in typical latencies."""
+EARLY_LOOK = 0.25
+"""Part of the needed surprise after which an attempt is looked at; others may raise the rest."""
 
-FIRST_WATCH_S = 1.0
-"""Age in seconds from which an attempt is watched while its class's latency is unknown."""
+FIRST_LOOK_S = 1.0
+"""Age in seconds from which an attempt is looked at while its class's latency is unknown."""
 
 LOAD_COST = 1.0
 """Latencies that a fully used endpoint costs more than an idle one; grows with the square."""
@@ -207,16 +207,17 @@
 
     # --- What is estimated ---
 
-    def watch_after_s(self, name: str, class_name: str) -> float:
-        """Return the age in seconds from which an open attempt at an endpoint is watched."""
+    def doubtful_after_s(self, name: str, class_name: str, doubt: float, now: float) -> float:
+        """Return the age in seconds from which one open attempt alone raises so much doubt."""
         load = self._load_by_name[name]
         latencies = self._latencies(class_name)
         typical_s = latencies.quantile(0.5)
         if typical_s is None:
-            return FIRST_WATCH_S
+            return FIRST_LOOK_S
         if load.latency_s > SLOW_FACTOR * typical_s:
-            return TRIAL_WATCH * typical_s
-        return latencies.quantile(WATCH_QUANTILE)
+            return TRIAL_LOOK * typical_s
+        share = load.stall_prior(now + typical_s) * (1 - doubt) / doubt
+        return latencies.quantile(1 - min(1.0, share**EARLY_LOOK))
 
     def typical_s(self, class_name: str) -> float:
         """Return the median latency of a request class, in seconds."""
