--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -31,9 +31,9 @@
 )
 from pollenroad.limits import Outcome, make_limits
 from pollenroad.messages import AttemptAnswer, CancelAttempt, LimitGrant, LoadReport
-from pollenroad.models import ServiceDocument, WorkspaceDocument
-from pollenroad.routing import RouterPlace, make_router
-from pollenroad.services import Service
+from pollenroad.models import Document, ServiceDocument
+from pollenroad.routing import RouterPlace
+from pollenroad.services import Services
 from pollenroad.subsets import place_of
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
@@ -47,12 +47,7 @@
 
     def __init__(self, incarnation: str, place: RouterPlace, rng: random.Random):
         self._incarnation = incarnation
-        self._place = place
-        self._rng = rng
-        self._document_by_key: dict[str, ServiceDocument] = {}
-        self._workspace_by_name: dict[str, WorkspaceDocument] = {}
-        self._service_by_key: dict[str, Service] = {}
-        self._unavailable_vms: frozenset[str] = frozenset()
+        self._services = Services(place, rng)
         self._call_by_id: dict[str, OpenCall] = {}
         self._attempt_by_id: dict[str, OpenAttempt] = {}
         self._timers = Timers()
@@ -85,7 +80,7 @@
             case PeerReceived(_, LimitGrant() as grant):
                 self._outcomes.append(self._limits.on_grant(grant, now))
             case PeerReceived(_, LoadReport() as report):
-                self._learn(report, now)
+                self._services.learn(report, now)
             case AttemptUnsent(attempt_id):
                 yield from self._on_unsent(attempt_id, now)
             case PeerLost(peer):
@@ -93,49 +88,19 @@
             case DocumentInForce(document):
                 self._on_document(document, now)
             case MembershipChanged():
-                self._on_membership(event)
+                self._services.exclude(event.leaving | event.dead)
             case Tick():
                 yield from self._on_tick(now)
 
-    # --- Configuration and load ---
-
-    def _on_document(self, document, now: float) -> None:
+    def _on_document(self, document: Document, now: float) -> None:
         self._limits.configure(document, now)
-        match document:
-            case ServiceDocument():
-                self._document_by_key[document.key] = document
-                service = self._service_by_key.get(document.key)
-                if service is not None:
-                    service.configure(document, now)
-            case WorkspaceDocument():
-                self._workspace_by_name[document.key] = document
-
-    def _on_membership(self, change: MembershipChanged) -> None:
-        self._unavailable_vms = change.leaving | change.dead
-        for service in self._service_by_key.values():
-            service.router.exclude(self._unavailable_vms)
-
-    def _service(self, key: str, now: float) -> Service | None:
-        service = self._service_by_key.get(key)
-        if service is not None:
-            return service
-        document = self._document_by_key.get(key)
-        if document is None:
-            return None
-        router = make_router(document, self._place, self._rng)
-        router.exclude(self._unavailable_vms)
-        self._service_by_key[key] = Service(document, router, now)
-        return self._service_by_key[key]
-
-    def _learn(self, report: LoadReport, now: float) -> None:
-        service = self._service_by_key.get(report.service)
-        if service is not None:
-            service.router.learn(report, now)
+        if isinstance(document, ServiceDocument):
+            self._services.configure(document, now)
 
     # --- Calls ---
 
     def _on_call(self, call: CallArrived, now: float) -> Iterator[Action]:
-        service = self._service(call.service, now)
+        service = self._services.of(call.service, now)
         if service is None:
             yield AnswerCall(call.call_id, Verdict.NOT_RUN, "unknown-service")
             return
@@ -175,13 +140,13 @@
                 )
 
     def _send_first_attempt(self, open_call: OpenCall, now: float) -> Iterator[Action]:
-        service = self._service_by_key[open_call.call.service]
+        service = self._services[open_call.call.service]
         service.first_attempt(open_call.allowance)
         yield from self._send_attempt(open_call, "first", now)
 
     def _send_attempt(self, open_call: OpenCall, role: str, now: float) -> Iterator[Action]:
         call = open_call.call
-        service = self._service_by_key[call.service]
+        service = self._services[call.service]
         choice = service.router.choose(open_call.tried_names, open_call.request_class.name, now)
         if choice is None:
             if not open_call.open_attempt_ids:
@@ -207,12 +172,12 @@
         attempt = self._attempt_by_id.pop(answer.attempt_id, None)
         if attempt is None:
             if answer.load is not None:
-                self._learn(answer.load, now)
+                self._services.learn(answer.load, now)
             return
         open_call = self._call_by_id[attempt.call_id]
         open_call.open_attempt_ids.discard(attempt.attempt_id)
         verdict = Verdict(answer.verdict)
-        router = self._service_by_key[open_call.call.service].router
+        router = self._services[open_call.call.service].router
         name = attempt.endpoint.name
         if verdict is Verdict.RAN:
             ok = answer.response is not None and answer.response.status < SERVER_ERROR
@@ -221,7 +186,7 @@
         else:
             router.ended(name, attempt.attempt_id, verdict, now)
         if answer.load is not None:
-            self._learn(answer.load, now)
+            self._services.learn(answer.load, now)
         yield ended_record(open_call, attempt, verdict, answer.reason, now)
         if verdict is Verdict.RAN:
             yield from self._finish(
@@ -240,7 +205,7 @@
             return
         open_call = self._call_by_id[attempt.call_id]
         open_call.open_attempt_ids.discard(attempt_id)
-        router = self._service_by_key[open_call.call.service].router
+        router = self._services[open_call.call.service].router
         router.ended(attempt.endpoint.name, attempt_id, verdict, now)
         router.unreachable(attempt.endpoint.address, now)
         yield ended_record(open_call, attempt, verdict, reason, now)
@@ -258,7 +223,7 @@
             open_call.maybe_ran = True
         if open_call.open_attempt_ids:
             return
-        service = self._service_by_key[open_call.call.service]
+        service = self._services[open_call.call.service]
         if service.try_again(open_call, verdict, reason, now):
             yield from self._send_attempt(open_call, "retry", now)
             return
@@ -290,7 +255,7 @@
         self._outcomes.append(self._limits.ended(call_id, now))
         self._timers.cancel(("deadline", call_id))
         self._timers.cancel(("hedge", call_id))
-        router = self._service_by_key[open_call.call.service].router
+        router = self._services[open_call.call.service].router
         for attempt_id in sorted(open_call.open_attempt_ids):
             attempt = self._attempt_by_id.pop(attempt_id)
             router.cancelled(attempt.endpoint.name, attempt_id, open_call.request_class.name, now)
@@ -311,15 +276,14 @@
         lost = [a.attempt_id for a in self._attempt_by_id.values() if a.endpoint.address == peer]
         for attempt_id in lost:
             yield from self._end_without_answer(attempt_id, Verdict.UNKNOWN, "peer-lost", now)
-        for service in self._service_by_key.values():
-            service.router.unreachable(peer, now)
+        self._services.unreachable(peer, now)
 
     # --- Time ---
 
     def _look_later(self, open_call: OpenCall, name: str, sent_at: float, now: float) -> None:
         if not open_call.may_hedge:
             return
-        hedges = self._service_by_key[open_call.call.service].hedges
+        hedges = self._services[open_call.call.service].hedges
         due = hedges.next_look(name, open_call.request_class.name, sent_at, now)
         if due < open_call.deadline:
             self._timers.set(("hedge", open_call.call.call_id), due)
@@ -340,7 +304,7 @@
         (attempt_id,) = open_call.open_attempt_ids
         attempt = self._attempt_by_id[attempt_id]
         name = attempt.endpoint.name
-        hedges = self._service_by_key[open_call.call.service].hedges
+        hedges = self._services[open_call.call.service].hedges
         if not hedges.is_doubtful(name, open_call.request_class.name, now):
             self._look_later(open_call, name, attempt.sent_at, now)
             return
--- a/src/pollenroad/services.py
+++ b/src/pollenroad/services.py
@@ -1,7 +1,10 @@
 """What an entry keeps of each service that it calls: document, router and budgets."""
 
+import random
+
 from pollenroad.calls import OpenCall
 from pollenroad.hedges import Hedges
+from pollenroad.messages import LoadReport
 from pollenroad.models import ServiceDocument
 from pollenroad.retries import (
     SERVER_REASONS,
@@ -9,7 +12,7 @@
     Budget,
     make_retry_budget,
 )
-from pollenroad.routing import Router
+from pollenroad.routing import Router, RouterPlace, make_router
 from pollenroad.verdicts import Verdict, may_retry
 
 
@@ -61,3 +64,48 @@
             return False
         call.may_run_again |= may_rerun
         return self._refusal_budget.spend(now)
+
+
+class Services:
+    """The services of which an entry knows a document; state is kept for those in use only."""
+
+    def __init__(self, place: RouterPlace, rng: random.Random):
+        self._place = place
+        self._rng = rng
+        self._document_by_key: dict[str, ServiceDocument] = {}
+        self._service_by_key: dict[str, Service] = {}
+        self._excluded_vms: frozenset[str] = frozenset()
+
+    def __getitem__(self, key: str) -> Service:
+        return self._service_by_key[key]
+
+    def of(self, key: str, now: float) -> Service | None:
+        """Return the service with this key, made at its first use; None without a document."""
+        if key not in self._service_by_key and key in self._document_by_key:
+            document = self._document_by_key[key]
+            router = make_router(document, self._place, self._rng)
+            router.exclude(self._excluded_vms)
+            self._service_by_key[key] = Service(document, router, now)
+        return self._service_by_key.get(key)
+
+    def configure(self, document: ServiceDocument, now: float) -> None:
+        """Take a newer document."""
+        self._document_by_key[document.key] = document
+        if document.key in self._service_by_key:
+            self._service_by_key[document.key].configure(document, now)
+
+    def exclude(self, vms: frozenset[str]) -> None:
+        """Send no new work to endpoints on these VMs."""
+        self._excluded_vms = vms
+        for service in self._service_by_key.values():
+            service.router.exclude(vms)
+
+    def learn(self, report: LoadReport, now: float) -> None:
+        """Take a load report of an endpoint."""
+        if report.service in self._service_by_key:
+            self._service_by_key[report.service].router.learn(report, now)
+
+    def unreachable(self, address: str, now: float) -> None:
+        """Count a broken link to the daemon at `address`."""
+        for service in self._service_by_key.values():
+            service.router.unreachable(address, now)
