--- a/src/pollenroad/standins/server.py
+++ b/src/pollenroad/standins/server.py
@@ -7,6 +7,7 @@
 import random
 import time
 from dataclasses import dataclass, field
+from typing import Literal
 
 import bottle
 import gevent
@@ -32,7 +33,9 @@
     service_ms: float = 20.0
     """Mean service time."""
     spread: float = 0.3
-    """Half-width of the uniform service time, as a share of the mean."""
+    """Half-width of a uniform service time as a share of the mean, or sigma of a lognormal one."""
+    shape: Literal["uniform", "lognormal"] = "uniform"
+    """Distribution of the service time."""
     cold_bound: int = 0
     """Requests in flight above which a cold server falls over; 0 for a server never cold."""
     warm_after_s: float = 5.0
@@ -122,7 +125,10 @@
 
     def _service_s(self) -> float:
         model = self.model
-        jitter = self._rng.uniform(1 - model.spread, 1 + model.spread)
+        if model.shape == "uniform":
+            jitter = self._rng.uniform(1 - model.spread, 1 + model.spread)
+        else:
+            jitter = self._rng.lognormvariate(-(model.spread**2) / 2, model.spread)
         return model.service_ms / 1000 * jitter * model.straggle
 
     def _work(self, seconds: float) -> None:
