--- a/src/pollenroad/measuring.py
+++ b/src/pollenroad/measuring.py
@@ -18,7 +18,7 @@
 """Time after which a document is in force everywhere, in seconds."""
 
 WINDOW_S = 1.0
-"""Shortest window over which a share is held, in seconds."""
+"""Window over which a share is held if it is worth two messages, in seconds."""
 
 MAX_SUBSCRIBERS = 64
 """Entries that a guard reports to at most, the most recent ones."""
@@ -30,32 +30,36 @@
 """Change of the load, as a share of the bound, that is worth a report."""
 
 
-class SlidingLimit:
-    """Holds spending to a rate over each sliding window.
+class RateLimit:
+    """Holds spending to a rate over every window that is long enough.
 
-    The window is `WINDOW_S`, or as long as the rate needs for one unit of spending. No window of
-    that length, wherever it begins, holds more than the rate allows.
+    A bucket that holds one unit of spending and refills somewhat slower than the rate: so a window
+    of `window_s` or more, wherever it begins, never holds more than the rate allows.
     """
 
     def __init__(self):
-        self._spent = deque()
-        self._sum = 0.0
+        self._level = 0.0
+        self._updated = None
 
     def allows(self, rate_per_s: float, cost: float, now: float) -> bool:
         """Tell whether `cost` may be spent now at `rate_per_s`."""
         if rate_per_s <= 0:
+            self._level, self._updated = 0.0, now
             return False
-        window_s = max(WINDOW_S, cost / rate_per_s)
-        while self._spent and self._spent[0][0] <= now - window_s:
-            self._sum -= self._spent.popleft()[1]
-        if not self._spent:
-            self._sum = 0.0
-        return self._sum + cost <= rate_per_s * window_s * (1 + 1e-9)
+        refill_per_s = rate_per_s - cost / window_s(rate_per_s, cost)
+        if self._updated is not None:
+            self._level = min(cost, self._level + refill_per_s * (now - self._updated))
+        self._updated = now
+        return self._level >= cost * (1 - 1e-9)
 
-    def spend(self, cost: float, now: float) -> None:
-        """Count `cost` as spent at `now`."""
-        self._spent.append((now, cost))
-        self._sum += cost
+    def spend(self, cost: float) -> None:
+        """Take `cost` out, after `allows` has said so."""
+        self._level -= cost
+
+
+def window_s(rate_per_s: float, cost: float) -> float:
+    """Return the shortest window in seconds that never holds more than the rate allows."""
+    return max(WINDOW_S, 2 * cost / rate_per_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,8 +84,8 @@
 
     def __init__(self):
         self._shares = deque([(float("-inf"), _share_of(None, False))])
-        self._messages = SlidingLimit()
-        self._server_time = SlidingLimit()
+        self._messages = RateLimit()
+        self._server_time = RateLimit()
         self.messages_spent = 0
         """Load reports and probes since the start."""
         self.server_ms_spent = 0.0
@@ -101,11 +105,15 @@
             max(share.probe_cost_ms for share in recent),
         )
 
+    def may_report(self, now: float) -> bool:
+        """Tell whether the share allows a message."""
+        return self._messages.allows(self._current(now).messages_per_s, 1.0, now)
+
     def try_report(self, now: float) -> bool:
         """Spend one message if the share allows it."""
-        if not self._messages.allows(self._current(now).messages_per_s, 1.0, now):
+        if not self.may_report(now):
             return False
-        self._spend_message(now)
+        self._spend_message()
         return True
 
     def try_probe(self, now: float) -> bool:
@@ -116,13 +124,13 @@
             return False
         if not self._server_time.allows(share.server_ms_per_s, cost_ms, now):
             return False
-        self._spend_message(now)
-        self._server_time.spend(cost_ms, now)
+        self._spend_message()
+        self._server_time.spend(cost_ms)
         self.server_ms_spent += cost_ms
         return True
 
-    def _spend_message(self, now: float) -> None:
-        self._messages.spend(1.0, now)
+    def _spend_message(self) -> None:
+        self._messages.spend(1.0)
         self.messages_spent += 1
 
 
--- a/src/pollenroad/operator_http.py
+++ b/src/pollenroad/operator_http.py
@@ -16,6 +16,14 @@
         "ready": daemon.ready,
         "stopping": daemon.stopping,
         "in_flight": daemon.guard.in_flight,
+        "queued": daemon.guard.queued,
+        "bound": daemon.guard.bound,
+        "state": daemon.guard.state,
+        "why": daemon.guard.why,
+        "measuring": {
+            "messages": daemon.guard.measuring.messages_spent,
+            "server_ms": daemon.guard.measuring.server_ms_spent,
+        },
         "open_calls": len(daemon.calls),
         "versions": {key: doc.version for key, doc in daemon.document_by_key.items()},
     }
--- a/src/pollenroad/reporting.py
+++ b/src/pollenroad/reporting.py
@@ -36,6 +36,8 @@
 
     def push(self, report: LoadReport, now: float) -> list[SendPeer]:
         """Return the actions that tell entries of a load that is news to them."""
+        if not self.share.may_report(now):
+            return []
         actions = []
         for peer in self.subscribers.worth_telling(report, now):
             if not self.share.try_report(now):
