--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -23,7 +23,7 @@
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport
 from pollenroad.models import ServiceDocument, WorkspaceDocument
 from pollenroad.retries import TEACHING_REASONS, allowance_below
-from pollenroad.routing import LeastTime, Policy, RouterPlace, make_router
+from pollenroad.routing import RouterPlace, make_router
 from pollenroad.services import Service
 from pollenroad.subsets import place_of
 from pollenroad.timers import Timers
@@ -32,6 +32,9 @@
 MIN_SPARE_SHARE = 0.1
 """Share of the known capacity that must be free for a hedge."""
 
+WATCH_STEP = 0.2
+"""Time between two looks at a late attempt, in typical latencies."""
+
 SERVER_ERROR = 500
 """Lowest HTTP status that counts as a failure of the server."""
 
@@ -147,7 +150,7 @@
             attempt.attempt_id, call.call_id, choice.endpoint, now
         )
         service.router.sent(name, attempt.attempt_id, open_call.request_class.name, now)
-        self._set_hedge_timer(open_call, service, now)
+        self._set_hedge_timer(open_call, name, now)
         yield sent_record(attempt, choice.endpoint, f"{role}:{choice.why}")
         yield SendPeer(choice.endpoint.address, attempt)
 
@@ -302,11 +305,12 @@
 
     # --- Time ---
 
-    def _set_hedge_timer(self, open_call: OpenCall, service: Service, now: float) -> None:
+    def _set_hedge_timer(self, open_call: OpenCall, name: str, now: float) -> None:
         request_class = open_call.request_class
         if not (request_class.hedge and request_class.idempotent):
             return
-        due = now + service.router.late_after_s(request_class.name)
+        router = self._service_by_key[open_call.call.service].router
+        due = now + router.watch_after_s(name, request_class.name)
         if due < open_call.deadline and open_call.attempts < request_class.max_attempts:
             self._timers.set(("hedge", open_call.call.call_id), due)
 
@@ -321,9 +325,16 @@
 
     def _hedge(self, open_call: OpenCall, now: float) -> Iterator[Action]:
         service = self._service_by_key[open_call.call.service]
-        if len(open_call.open_attempt_ids) != 1:
+        if len(open_call.open_attempt_ids) != 1 or open_call.call.retry_budget < 1:
+            return
+        (attempt_id,) = open_call.open_attempt_ids
+        name = self._attempt_by_id[attempt_id].endpoint.name
+        class_name = open_call.request_class.name
+        if not service.router.is_doubtful(name, class_name, now):
+            pause_s = WATCH_STEP * service.router.typical_s(class_name)
+            self._timers.set(("hedge", open_call.call.call_id), now + pause_s)
             return
-        if open_call.call.retry_budget < 1 or service.router.spare_share(now) < MIN_SPARE_SHARE:
+        if service.router.spare_share(now) < MIN_SPARE_SHARE:
             return
         if service.hedge_budget.spend(now):
             yield from self._send_attempt(open_call, "hedge", now)
@@ -334,7 +345,6 @@
     failure_domain: str,
     rng: random.Random,
     vm: str = "",
-    policy: Policy | None = None,
 ) -> Entry:
     """Make an entry.
 
@@ -343,7 +353,6 @@
         failure_domain: Failure domain of this daemon.
         rng: Source of randomness.
         vm: Name of the VM, by which its subset of a large service is chosen.
-        policy: How endpoints are chosen; the default is the product's own.
     """
-    place = RouterPlace(failure_domain, place_of(vm or incarnation), policy or LeastTime())
+    place = RouterPlace(failure_domain, place_of(vm or incarnation))
     return Entry(incarnation, place, rng)
