--- a/src/pollenroad/guard.py
+++ b/src/pollenroad/guard.py
@@ -14,6 +14,7 @@
     CancelAtServer,
     DocumentInForce,
     Event,
+    MembershipChanged,
     PeerReceived,
     Record,
     RunAtServer,
@@ -24,7 +25,6 @@
     ServerShed,
     StopRequested,
     Tick,
-    VmListed,
 )
 from pollenroad.capacity import Capacity, incarnation_of
 from pollenroad.guardstate import GuardView
@@ -143,8 +143,8 @@
                 return self._on_probed(event, now)
             case DocumentInForce(ServiceDocument() as document):
                 return self._on_document(document, now)
-            case VmListed(leaving):
-                self._vm_leaving = leaving
+            case MembershipChanged(leaving):
+                self._vm_leaving = self._vm in leaving
                 return self._close(now)
             case StopRequested():
                 self._stopping = True
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -28,8 +28,10 @@
     AttemptAnswer,
     Hello,
     Leaving,
+    LimitGrant,
     LoadReport,
     PeerMessage,
+    RelayMessage,
 )
 
 DIAL_TIMEOUT_S = 0.5
@@ -37,6 +39,8 @@
 HELLO_MAX_BYTES = 4096
 MAX_OUTBOX_BYTES = 33_554_432
 """Bytes waiting for one peer, above which its link is closed."""
+MAX_DIRECT_BYTES = 65_536
+"""Longest frame that is written without a switch of tasks."""
 MAX_INBOUND_LINKS = 12_000
 
 
@@ -76,31 +80,59 @@
         self._outbox_bytes = 0
         self._wake = Flag()
         self._closed = False
+        self._writing = False
+        self._rest = b""
         self._writer = gevent.spawn(self._write)
 
     def send(self, message: PeerMessage) -> None:
         frame = encode_frame(message)
+        if self._closed:
+            self._on_closed(self, [message])
+            return
+        if not self._outbox and self._send_at_once(frame):
+            return
         self._outbox.append((message, frame))
         self._outbox_bytes += len(frame)
         if self._outbox_bytes > MAX_OUTBOX_BYTES:
             self.close()
         self._wake.set()
 
+    def _send_at_once(self, frame: bytes) -> bool:
+        """Write a whole frame without a switch of tasks, if the socket takes it."""
+        if self._writing or len(frame) > MAX_DIRECT_BYTES:
+            return False
+        try:
+            sent = self._sock._sock.send(frame, socket.MSG_DONTWAIT)
+        except OSError:
+            return False
+        self.sent_bytes += sent
+        if sent < len(frame):
+            self._rest = frame[sent:]
+            self._writing = True
+            self._wake.set()
+        return True
+
     def _write(self) -> None:
         try:
             while not self._closed:
-                if not self._outbox:
+                if self._rest:
+                    self._sock.sendall(self._rest)
+                    self._rest = b""
+                    self._writing = False
+                elif self._outbox:
+                    self._write_next()
+                else:
                     self._wake.clear()
                     self._wake.wait()
-                    continue
-                self._write_next()
         except OSError:
             self.close()
 
     def _write_next(self) -> None:
         _, frame = self._outbox.popleft()
         self._outbox_bytes -= len(frame)
+        self._writing = True
         self._sock.sendall(frame)
+        self._writing = False
         self.sent_bytes += len(frame)
 
     def read(self, on_message: Callable[[PeerMessage], None]) -> None:
@@ -146,8 +178,17 @@
         self._dialled_by_peer: dict[str, _Link] = {}
         self._accepted_by_peer: dict[str, _Link] = {}
         self._pending_by_peer: dict[str, list[PeerMessage]] = {}
+        self.cut_peers: frozenset[str] = frozenset()
+        """Peers to which nothing is sent, for trying a partition."""
+        self._closed_sent_bytes = 0
         self._server = StreamServer(split_address(identity.address), self._accept, backlog=1024)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of frames sent to peers so far."""
+        links = [*self._dialled_by_peer.values(), *self._accepted_by_peer.values()]
+        return self._closed_sent_bytes + sum(link.sent_bytes for link in links)
+
     def start(self) -> None:
         """Listen for peers."""
         self._server.start()
@@ -160,6 +201,8 @@
 
     def send(self, peer: str, message: PeerMessage) -> None:
         """Send one message; never blocks."""
+        if peer in self.cut_peers:
+            return
         if peer == self._identity.address:
             self._post(PeerReceived(peer, message))
             return
@@ -174,8 +217,10 @@
 
     def _link_for(self, peer: str, message: PeerMessage) -> _Link | None:
         match message:
-            case AttemptAnswer() | LoadReport() | Leaving():
+            case AttemptAnswer() | LoadReport() | Leaving() | LimitGrant():
                 return self._accepted_by_peer.get(peer) or self._dialled_by_peer.get(peer)
+            case _ if isinstance(message, RelayMessage):
+                return self._dialled_by_peer.get(peer) or self._accepted_by_peer.get(peer)
             case _:
                 return self._dialled_by_peer.get(peer)
 
@@ -219,6 +264,7 @@
     def _on_dialled_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._dialled_by_peer.get(link.peer) is link:
             del self._dialled_by_peer[link.peer]
+            self._closed_sent_bytes += link.sent_bytes
         log("peer_lost", peer=link.peer, reason="closed")
         self._report_unsent(unsent)
         self._post(PeerLost(link.peer))
@@ -266,3 +312,4 @@
     def _on_accepted_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._accepted_by_peer.get(link.peer) is link:
             del self._accepted_by_peer[link.peer]
+            self._closed_sent_bytes += link.sent_bytes
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -5,12 +5,12 @@
 from pollenroad.boundary import (
     CancelAtServer,
     DocumentInForce,
+    MembershipChanged,
     PeerReceived,
     SendPeer,
     ServerFailed,
     StopRequested,
     Tick,
-    VmListed,
 )
 from pollenroad.guard import make_guard
 from pollenroad.messages import CancelAttempt, Leaving
@@ -104,7 +104,9 @@
         self.assertIn(SendPeer("entry", Leaving("vm1")), driver.actions)
 
     def test_a_leaving_vm_takes_no_new_work(self):
-        self.check_no_new_work(VmListed(leaving=True), "leaving", "draining")
+        self.check_no_new_work(
+            MembershipChanged(frozenset({"vm1"}), frozenset()), "leaving", "draining"
+        )
 
     def test_a_failure_domain_out_of_service_takes_no_new_work(self):
         event = DocumentInForce(out_of_service("a"))
