--- a/src/pollenroad/bench/limits.py
+++ b/src/pollenroad/bench/limits.py
@@ -115,7 +115,13 @@
     started_by_id = _started_by_request(fleet)
     begin = min(record.started for record in records) + WARM_UP_S
     end = begin + MEASURED_S
-    result = {"admitted_over_limit": {}, "offered_over_limit": {}, "refused": {}, "p99_ms": {}}
+    result = {
+        "admitted_over_limit": {},
+        "offered_over_limit": {},
+        "refused": {},
+        "p50_ms": {},
+        "p99_ms": {},
+    }
     for factor in FACTORS:
         own = [record for record in records if record.customer == _customer(factor)]
         starts = [started_by_id.get(record.request_id, 0.0) for record in own]
@@ -126,13 +132,14 @@
         result["admitted_over_limit"][key] = round(admitted / whole, 4)
         result["offered_over_limit"][key] = round(offered / whole, 4)
         result["refused"][key] = sum(record.reason.startswith("limit-") for record in own)
-        result["p99_ms"][key] = _p99_ms(own)
+        result["p50_ms"][key] = _latency_ms(own, 0.5)
+        result["p99_ms"][key] = _latency_ms(own, 0.99)
     return result
 
 
-def _p99_ms(records: list[CallRecord]) -> float:
+def _latency_ms(records: list[CallRecord], share: float) -> float:
     latencies = [record.latency_s for record in records if record.verdict == "ran"]
-    return round(percentile(latencies, 0.99) * 1000, 1)
+    return round(percentile(latencies, share) * 1000, 1)
 
 
 def _cut(fleet: Fleet, halves: tuple[list, list]) -> None:
