Give leaving and dead VMs no new attempts from any entry

Cause: the view of VMs reached the entry and was dropped there. Change: the entry hands the view to the router of each service, which leaves absent VMs out of its subset until they are back; doubted VMs keep their place.

--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -14,6 +14,7 @@
     CallArrived,
     DocumentInForce,
     Event,
+    MembershipChanged,
     PeerLost,
     PeerReceived,
     SendPeer,
@@ -51,6 +52,7 @@
         self._service_by_key: dict[str, Service] = {}
         self._call_by_id: dict[str, OpenCall] = {}
         self._attempt_by_id: dict[str, OpenAttempt] = {}
+        self._absent_vms: frozenset[str] = frozenset()
         self._timers = Timers()
         self._attempt_count = 0
 
@@ -83,6 +85,8 @@
                 yield from self._on_peer_lost(peer, now)
             case DocumentInForce(document):
                 self._on_document(document, now)
+            case MembershipChanged(leaving, dead):
+                self._on_membership(leaving | dead)
             case Tick():
                 yield from self._on_tick(now)
 
@@ -98,6 +102,11 @@
             case WorkspaceDocument():
                 self._workspace_by_name[document.key] = document
 
+    def _on_membership(self, absent_vms: frozenset[str]) -> None:
+        self._absent_vms = absent_vms
+        for service in self._service_by_key.values():
+            service.router.set_absent(absent_vms)
+
     def _service(self, key: str, now: float) -> Service | None:
         service = self._service_by_key.get(key)
         if service is not None:
@@ -106,6 +115,7 @@
         if document is None:
             return None
         router = make_router(document, self._place, self._rng)
+        router.set_absent(self._absent_vms)
         self._service_by_key[key] = Service(document, router, now)
         return self._service_by_key[key]
 
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -119,19 +119,33 @@
         self._turns = itertools.count()
         self._load_by_name: dict[str, EndpointLoad] = {}
         self._latencies_by_class: dict[str, Latencies] = {}
+        self._absent_vms: frozenset[str] = frozenset()
         self.configure(document)
 
     # --- Configuration ---
 
     def configure(self, document: ServiceDocument) -> None:
         """Take a newer document; what is known of endpoints that remain is kept."""
+        self._document = document
         self._policy = POLICY_BY_NAME[document.routing]
         self._hedged_names = {c.name for c in document.classes if c.hedge and c.idempotent}
+        self._take_subset()
+
+    def set_absent(self, vms: frozenset[str]) -> None:
+        """Take the VMs that are leaving or dead; their endpoints get no new attempts."""
+        changed = self._absent_vms ^ vms
+        self._absent_vms = vms
+        if any(endpoint.vm in changed for endpoint in self._document.endpoints):
+            self._take_subset()
+
+    def _take_subset(self) -> None:
+        document = self._document
         out = document.out_of_service
+        absent = self._absent_vms.union(out.vms)
         in_service = [
             endpoint
             for endpoint in document.endpoints
-            if endpoint.failure_domain not in out.failure_domains and endpoint.vm not in out.vms
+            if endpoint.failure_domain not in out.failure_domains and endpoint.vm not in absent
         ]
         subset = subset_of(
             in_service, document.subset_size, self._place.ring_place, self._place.failure_domain
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,11 +3,14 @@
 import random
 import unittest
 
+from pollenroad.boundary import DocumentInForce, MembershipChanged, SendPeer
 from pollenroad.directory import Vm, make_directory
+from pollenroad.entry import make_entry
 from pollenroad.membership import DOUBT_S, make_membership
 from pollenroad.messages import VmListing, VmStatus
 from pollenroad.models import VmState
 from pollenroad.monitoring import AGREE_S, SUSPECT_S, make_monitor
+from tests.entry_samples import make_call, make_document
 
 
 def directory_of(count: int, domains: int = 3, key: str = "merrimack/registry"):
@@ -137,6 +140,32 @@
         self.assertEqual(len(membership.view(DOUBT_S + 1).dead), 2)
 
 
+class RoutingTest(unittest.TestCase):
+    def setUp(self):
+        self.entry = make_entry("e1", "ub-0", random.Random(1))
+        self.entry.handle(DocumentInForce(make_document(endpoints=5)), 0.0)
+
+    def chosen(self, first: int) -> set[str]:
+        calls = (make_call(number) for number in range(first, first + 40))
+        actions = [a for call in calls for a in self.entry.handle(call, 1.0)]
+        return {a.peer for a in actions if isinstance(a, SendPeer)}
+
+    def test_absent_vms_get_no_attempt_until_they_are_back(self):
+        self.assertEqual(len(self.chosen(0)), 5)
+        self.entry.handle(MembershipChanged(frozenset({"vm-1"}), frozenset({"vm-2"})), 1.0)
+        self.assertEqual(self.chosen(100), {f"127.0.0.1:{7100 + n}" for n in (0, 3, 4)})
+        self.entry.handle(MembershipChanged(frozenset(), frozenset(), frozenset({"vm-2"})), 1.0)
+        back = {"127.0.0.1:7101", "127.0.0.1:7102"}
+        self.assertEqual(self.chosen(200) & back, back)
+
+    def test_a_service_first_used_later_knows_who_is_absent(self):
+        entry = make_entry("e1", "ub-0", random.Random(1))
+        entry.handle(MembershipChanged(frozenset({"vm-1"}), frozenset()), 0.0)
+        entry.handle(DocumentInForce(make_document(endpoints=2)), 0.0)
+        self.entry = entry
+        self.assertEqual(self.chosen(0), {"127.0.0.1:7100"})
+
+
 class MonitorTest(unittest.TestCase):
     def setUp(self):
         self.monitor = make_monitor()
