--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -58,9 +58,9 @@
         self._document_by_key: dict[str, ServiceDocument] = {}
         self._workspace_by_name: dict[str, WorkspaceDocument] = {}
         self._service_by_key: dict[str, Service] = {}
-        self._unavailable_vms: frozenset[str] = frozenset()
         self._call_by_id: dict[str, OpenCall] = {}
         self._attempt_by_id: dict[str, OpenAttempt] = {}
+        self._absent_vms: frozenset[str] = frozenset()
         self._timers = Timers()
         self._limits = make_limits()
         self._outcomes: deque[Outcome] = deque()
@@ -98,8 +98,8 @@
                 yield from self._on_peer_lost(peer, now)
             case DocumentInForce(document):
                 self._on_document(document, now)
-            case MembershipChanged():
-                self._on_membership(event)
+            case MembershipChanged(leaving, dead):
+                self._on_membership(leaving | dead)
             case Tick():
                 yield from self._on_tick(now)
 
@@ -116,10 +116,10 @@
             case WorkspaceDocument():
                 self._workspace_by_name[document.key] = document
 
-    def _on_membership(self, change: MembershipChanged) -> None:
-        self._unavailable_vms = change.leaving | change.dead
+    def _on_membership(self, absent_vms: frozenset[str]) -> None:
+        self._absent_vms = absent_vms
         for service in self._service_by_key.values():
-            service.router.exclude(self._unavailable_vms)
+            service.router.set_absent(absent_vms)
 
     def _service(self, key: str, now: float) -> Service | None:
         service = self._service_by_key.get(key)
@@ -129,7 +129,7 @@
         if document is None:
             return None
         router = make_router(document, self._place, self._rng)
-        router.exclude(self._unavailable_vms)
+        router.set_absent(self._absent_vms)
         self._service_by_key[key] = Service(document, router, now)
         return self._service_by_key[key]
 
--- a/src/pollenroad/operator_http.py
+++ b/src/pollenroad/operator_http.py
@@ -15,20 +15,20 @@
         "incarnation": daemon.incarnation,
         "ready": daemon.ready,
         "stopping": daemon.stopping,
-        "in_flight": daemon.guard.in_flight,
-        "queued": daemon.guard.queued,
-        "bound": daemon.guard.bound,
-        "state": daemon.guard.state,
-        "why": daemon.guard.why,
+        "in_flight": daemon.cores.guard.in_flight,
+        "queued": daemon.cores.guard.queued,
+        "bound": daemon.cores.guard.bound,
+        "state": daemon.cores.guard.state,
+        "why": daemon.cores.guard.why,
         "measuring": {
-            "messages": daemon.guard.measuring.messages_spent,
-            "server_ms": daemon.guard.measuring.server_ms_spent,
+            "messages": daemon.cores.guard.measuring.messages_spent,
+            "server_ms": daemon.cores.guard.measuring.server_ms_spent,
         },
         "open_calls": len(daemon.calls),
-        "watcher": daemon.relay.is_watcher,
-        "leaving_vms": sorted(daemon.relay.view.leaving),
-        "dead_vms": sorted(daemon.relay.view.dead),
-        "doubtful_vms": sorted(daemon.relay.view.doubtful),
+        "watcher": daemon.cores.relay.is_watcher,
+        "leaving_vms": sorted(daemon.cores.relay.view.leaving),
+        "dead_vms": sorted(daemon.cores.relay.view.dead),
+        "doubtful_vms": sorted(daemon.cores.relay.view.doubtful),
         "versions": {key: doc.version for key, doc in daemon.document_by_key.items()},
     }
 
@@ -60,7 +60,7 @@
     @app.get("/audit")
     def audit():
         bottle.response.content_type = "application/json"
-        return daemon.relay.trail.to_json()
+        return daemon.cores.relay.trail.to_json()
 
     @app.get("/recent/<request_id>")
     def recent(request_id: str):
