--- a/src/pollenroad/bench/load.py
+++ b/src/pollenroad/bench/load.py
@@ -9,11 +9,13 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import msgspec
 
+from pollenroad.verdicts import Verdict
+
 RUN_SLACK_S = 15.0
 
 
@@ -44,6 +46,8 @@
     """Poisson arrivals; otherwise evenly spaced with jitter, the mixes taking turns, so that the
     number of calls is exact."""
     timeout_s: float = 10.0
+    by_client: bool = False
+    """Call through `pollenroad.Client`, which goes to another entry when one leaves."""
 
 
 class CallRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -85,8 +89,9 @@
         yield offset, mix, rng.choice(plan.entries), f"r{plan.seed}-{count}"
 
 
-def _make_call(pools, plan: LoadPlan, mix: CallMix, entry: str, request_id: str) -> CallRecord:
-    from pollenroad import headers
+def _call_directly(pools, plan: LoadPlan, mix: CallMix, entry: str, request_id: str):
+    """Make one call at a server, or at one entry whatever it answers."""
+    from pollenroad import client, headers
 
     fields = {
         headers.REQUEST_ID: request_id,
@@ -96,36 +101,44 @@
     if mix.deadline_ms:
         fields[headers.DEADLINE_MS] = f"{mix.deadline_ms:g}"
     url = f"http://{mix.direct_to}/item" if mix.direct_to else f"http://{entry}/{mix.service}/item"
-    started, begin = time.time(), time.monotonic()
-    try:
-        answer = pools.request(
-            mix.method,
-            url,
-            headers=fields,
-            body=b"x" * mix.body_bytes or None,
-            timeout=plan.timeout_s,
-            retries=False,
-        )
-    except Exception as error:
-        return _record(mix, request_id, started, begin, 0, "", type(error).__name__)
-    own = answer.status != 200 or f'"{request_id}"'.encode() in answer.data
-    return _record(
-        mix,
-        request_id,
-        started,
-        begin,
-        answer.status,
-        answer.headers.get(headers.VERDICT, "ran" if mix.direct_to else ""),
-        answer.headers.get(headers.REASON, ""),
-        int(answer.headers.get(headers.ATTEMPTS, 0)),
-        answer.headers.get(headers.ENDPOINT, ""),
-        own,
+    answer = pools.request(
+        mix.method,
+        url,
+        headers=fields,
+        body=b"x" * mix.body_bytes or None,
+        timeout=plan.timeout_s,
+        retries=False,
+    )
+    return client.reply_from(answer, request_id, Verdict.RAN if mix.direct_to else None)
+
+
+def _call_by_client(callers: dict, plan: LoadPlan, mix: CallMix, request_id: str):
+    """Make one call through `pollenroad.Client`, which chooses the entry."""
+    from pollenroad.client import Client
+
+    if mix.customer not in callers:
+        callers[mix.customer] = Client(plan.entries, mix.customer)
+    return callers[mix.customer].request(
+        mix.method,
+        mix.service,
+        "/item",
+        b"x" * mix.body_bytes,
+        request_class=mix.request_class,
+        deadline_s=(mix.deadline_ms or plan.timeout_s * 1000) / 1000,
+        request_id=request_id,
     )
 
 
-def _record(
-    mix, request_id, started, begin, status, verdict, reason="", attempts=0, endpoint="", own=True
-) -> CallRecord:
+def _record(mix: CallMix, request_id: str, make_reply: Callable) -> CallRecord:
+    started, begin = time.time(), time.monotonic()
+    status, verdict, reason, attempts, endpoint, own = 0, "", "", 0, "", True
+    try:
+        reply = make_reply()
+        status, verdict, reason = reply.status, reply.verdict.value, reply.reason
+        attempts, endpoint = reply.attempts, reply.endpoint
+        own = reply.status != 200 or f'"{request_id}"'.encode() in reply.body
+    except Exception as error:
+        reason = type(error).__name__
     return CallRecord(
         request_id=request_id,
         service=mix.service,
@@ -142,7 +155,7 @@
     )
 
 
-def generate(plan: LoadPlan, write) -> None:
+def generate(plan: LoadPlan, write: Callable[[bytes], object]) -> None:
     """Make the calls of a plan, each in its own task, and write their records.
 
     Args:
@@ -153,10 +166,16 @@
     import urllib3
 
     pools = urllib3.PoolManager(num_pools=64, maxsize=1024)
+    callers: dict = {}
     encoder = msgspec.json.Encoder()
 
+    def make_reply(mix: CallMix, entry: str, request_id: str):
+        if plan.by_client:
+            return _call_by_client(callers, plan, mix, request_id)
+        return _call_directly(pools, plan, mix, entry, request_id)
+
     def one(mix: CallMix, entry: str, request_id: str) -> None:
-        record = _make_call(pools, plan, mix, entry, request_id)
+        record = _record(mix, request_id, lambda: make_reply(mix, entry, request_id))
         write(encoder.encode(record) + b"\n")
 
     begin = time.monotonic()
--- a/src/pollenroad/client.py
+++ b/src/pollenroad/client.py
@@ -72,10 +72,21 @@
     request_id: str
 
 
-def _reply_from(answer: urllib3.BaseHTTPResponse, request_id: str) -> Reply:
+def reply_from(
+    answer: urllib3.BaseHTTPResponse, request_id: str, default: Verdict | None = None
+) -> Reply:
+    """Read an entry's answer.
+
+    Args:
+        answer: The whole HTTP answer.
+        request_id: Id of the request, where the answer names none.
+        default: Verdict where the answer states none; by default not run, since an entry states it
+            for every call that it took.
+    """
     fields = answer.headers
+    stated = fields.get(headers.VERDICT)
     return Reply(
-        verdict=Verdict(fields.get(headers.VERDICT, Verdict.NOT_RUN.value)),
+        verdict=Verdict(stated) if stated else default or Verdict.NOT_RUN,
         status=answer.status,
         headers=fields,
         body=answer.data,
@@ -220,7 +231,7 @@
             return self._failed(entry, prepared, Verdict.NOT_RUN, "no-entry")
         except (HTTPError, OSError):
             return self._failed(entry, prepared, Verdict.UNKNOWN, "entry-lost")
-        reply = _reply_from(answer, prepared.request_id)
+        reply = reply_from(answer, prepared.request_id)
         if reply.reason in RETRIED_REASONS:
             self._avoid_until_by_entry[entry] = time.monotonic() + AVOID_S
         return reply
