--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -17,14 +17,9 @@
     AnswerCall,
     CancelAtServer,
     DocumentInForce,
-    DocumentRead,
-    DocumentsListed,
     Event,
     ListDocuments,
     ListVms,
-    MembershipChanged,
-    PeerReceived,
-    PlatformFailed,
     PlatformRequest,
     ProbeServer,
     ReadDocument,
@@ -34,30 +29,24 @@
     SendPeer,
     StopRequested,
     Tick,
-    VmsListed,
     WatchPlatform,
-    WatchReturned,
 )
-from pollenroad.entry import make_entry
-from pollenroad.explain import sentences
-from pollenroad.guard import make_guard
-from pollenroad.headroom import capacity_warnings
+from pollenroad.cores import make_cores
 from pollenroad.http import Calls, make_call_app, make_call_server
-from pollenroad.limit_owner import make_limit_owner
 from pollenroad.logs import LOGGER, log
-from pollenroad.messages import AttemptAnswer, Leaving, RelayMessage
 from pollenroad.models import Document
 from pollenroad.operator_http import make_operator_server
 from pollenroad.peers import Identity, Peers
 from pollenroad.platform import Platform
 from pollenroad.recent import RecentRecords
-from pollenroad.relay import RelaySettings, make_relay
+from pollenroad.relay import RelaySettings
 from pollenroad.settings import Settings
 from pollenroad.upstream import Upstream
 
 POLL_WHILE_DRAINING_S = 0.02
-LEAVING_NOTICE_S = 0.2
-"""Time between the last answer and the closing of links, so that it leaves the process."""
+LEAVING_NOTICE_S = 1.0
+"""Time between the last answer and the closing of sockets, in which callers with open connections
+learn that this entry leaves."""
 
 
 class Daemon:
@@ -75,14 +64,12 @@
         self._timer_wake = Flag()
         self._timer_due = float("inf")
         rng = random.Random(self.incarnation)
-        self.entry = make_entry(self.incarnation, settings.failure_domain, rng, settings.vm)
-        self.guard = make_guard(settings.service, settings.vm)
-        self.limit_owner = make_limit_owner(settings.peer_address, time.monotonic())
-        self.relay = make_relay(self._relay_settings(), _explain, rng)
-        self._cores = (self.entry, self.guard, self.limit_owner, self.relay)
-        self.calls = Calls(self.post)
+        self.cores = make_cores(
+            self.incarnation, settings.service, self._relay_settings(), rng, time.monotonic()
+        )
+        self.calls = Calls(self.post, self._refusal)
         self.upstream = Upstream(settings.server, self.post)
-        self.peers = Peers(self._identity(), self.post, self.relay.is_member)
+        self.peers = Peers(self._identity(), self.post, self.cores.relay.is_member)
         self.platform = Platform(settings.platform)
         app = make_call_app(self.calls)
         self._call_server = make_call_server(settings.call_address, app, settings.max_connections)
@@ -113,7 +100,13 @@
     @property
     def ready(self) -> bool:
         """Whether this daemon holds configuration and takes work."""
-        return self.relay.ready and not self.stopping
+        return self.cores.relay.ready and not self.stopping
+
+    def _refusal(self) -> str:
+        """Return why a new call is refused before it is looked at, or an empty string."""
+        if self.stopping:
+            return "leaving"
+        return "" if self.cores.relay.ready else "starting"
 
     # --- Events and actions ---
 
@@ -131,29 +124,8 @@
         self._schedule_tick()
 
     def _handle(self, event: Event) -> None:
-        now = time.monotonic()
-        for core in self._cores_for(event):
-            for action in core.handle(event, now):
-                self._perform(action)
-
-    def _cores_for(self, event: Event) -> tuple:
-        """Return the cores that an event concerns; calls do not pass through the relay."""
-        match event:
-            case Tick() | StopRequested() | PeerReceived(_, Leaving()):
-                return self._cores
-            case PeerReceived(_, AttemptAnswer(reason="leaving")):
-                return (self.entry, self.guard, self.relay)
-            case PeerReceived(_, message) if isinstance(message, RelayMessage):
-                return (self.relay,)
-            case (
-                DocumentRead()
-                | DocumentsListed()
-                | WatchReturned()
-                | VmsListed()
-                | PlatformFailed()
-            ):
-                return (self.relay,)
-        return (self.entry, self.guard, self.limit_owner)
+        for action in self.cores.handle(event, time.monotonic()):
+            self._perform(action)
 
     def _perform(self, action: Action) -> None:
         match action:
@@ -170,9 +142,6 @@
             case DocumentInForce(document):
                 self.document_by_key[document.key] = document
                 log("document_in_force", key=document.key, version=document.version)
-                self.post(action)
-            case MembershipChanged():
-                self.post(action)
             case RelayReady(documents, alone):
                 log("daemon_ready", documents=documents, alone=alone)
             case ReadDocument() | ListDocuments() | ListVms() | WatchPlatform():
@@ -187,8 +156,8 @@
             self._timer_wake.set()
 
     def _next_due(self) -> float:
-        dues = (core.next_due() for core in self._cores)
-        return min((due for due in dues if due is not None), default=float("inf"))
+        due = self.cores.next_due()
+        return float("inf") if due is None else due
 
     def _run_timer(self) -> None:
         while True:
@@ -224,15 +193,15 @@
             gevent.spawn(self._drain)
 
     def _drain(self) -> None:
-        log("daemon_stopping", in_flight=self.guard.in_flight, calls=len(self.calls))
+        log("daemon_stopping", in_flight=self.cores.guard.in_flight, calls=len(self.calls))
         self.post(StopRequested())
         document = self.document_by_key.get(self.settings.service)
         limit_s = document.drain_s if document else self.settings.stop_grace_s
         deadline = time.monotonic() + limit_s
-        while time.monotonic() < deadline and (self.guard.in_flight or len(self.calls)):
+        while time.monotonic() < deadline and (self.cores.guard.in_flight or len(self.calls)):
             gevent.sleep(POLL_WHILE_DRAINING_S)
-        if self.guard.in_flight or len(self.calls):
-            log("drain_timeout", in_flight=self.guard.in_flight, calls=len(self.calls))
+        if self.cores.guard.in_flight or len(self.calls):
+            log("drain_timeout", in_flight=self.cores.guard.in_flight, calls=len(self.calls))
         gevent.sleep(LEAVING_NOTICE_S)
         self._call_server.stop(timeout=1)
         self.peers.stop()
@@ -245,11 +214,6 @@
         self._ended.wait()
 
 
-def _explain(previous: Document | None, document: Document) -> list[str]:
-    warnings = capacity_warnings(previous, document)
-    return [*sentences(previous, document), *(str(warning) for warning in warnings)]
-
-
 def _log_task_failure(context, kind, value, traceback) -> None:
     if not issubclass(kind, gevent.get_hub().NOT_ERROR):
         LOGGER.error("internal_error", exc_info=(kind, value, traceback))
--- a/src/pollenroad/http.py
+++ b/src/pollenroad/http.py
@@ -2,6 +2,7 @@
 
 import secrets
 import socket
+from collections.abc import Callable
 
 import bottle
 import gevent
@@ -10,7 +11,7 @@
 
 from pollenroad import headers
 from pollenroad.addresses import split_address
-from pollenroad.boundary import AnswerCall, CallAbandoned, CallArrived
+from pollenroad.boundary import AnswerCall, CallAbandoned, CallArrived, Event
 from pollenroad.header_block import read_header_block
 from pollenroad.messages import Request, Response
 from pollenroad.peers import set_no_delay
@@ -105,10 +106,16 @@
 
 
 class Calls:
-    """Open calls of this process, by id, each with a task that waits for its answer."""
+    """Open calls of this process, by id, each with a task that waits for its answer.
 
-    def __init__(self, post):
+    Args:
+        post: Takes events for the cores.
+        refusal: Returns why new calls are refused now, or an empty string.
+    """
+
+    def __init__(self, post: Callable[[Event], None], refusal: Callable[[], str]):
         self._post = post
+        self._refusal = refusal
         self._result_by_call: dict[str, AsyncResult] = {}
         self._count = 0
 
@@ -128,6 +135,9 @@
 
     def run(self, call: CallArrived, sock) -> AnswerCall:
         """Post a call and wait for its answer, watching for the caller to go away."""
+        refusal = self._refusal()
+        if refusal:
+            return AnswerCall(call.call_id, Verdict.NOT_RUN, refusal)
         result = AsyncResult()
         self._result_by_call[call.call_id] = result
         watcher = gevent.get_hub().loop.io(sock.fileno(), 1)
@@ -203,6 +213,8 @@
 
 
 def _refuse(answer: AnswerCall, fields: list[tuple[str, str]]) -> bottle.HTTPResponse:
+    if answer.reason == "leaving":
+        fields = [*fields, ("Connection", "close")]
     body = {
         "verdict": answer.verdict.value,
         "reason": answer.reason,
