Guard in smaller parts; announce leaving once; no retry into known overload

Change: closing.py, guardrecords.py; a full memory of ids answers nothing until the oldest expire; the time-based part of the retry budget is a floor; no retry after "overloaded" without a spare slot anywhere, as far as reports tell.

--- a/src/pollenroad/capacity.py
+++ b/src/pollenroad/capacity.py
@@ -64,6 +64,22 @@
         """Return the time until the next trial of a server that is down, in seconds."""
         return self._hold.remaining_s(now)
 
+    def retry_after_s(self, refusal: str, queued: int, now: float) -> float:
+        """Return when a refused attempt may be worth another try, in seconds; 0 for no advice.
+
+        Args:
+            refusal: Reason of the refusal.
+            queued: Attempts that wait.
+            now: Monotonic time in seconds.
+        """
+        match refusal:
+            case "overloaded":
+                rounds = (1 + queued) / max(1, self.bound(now))
+                return max(1.0, rounds) * self.times.median_s
+            case "server-down":
+                return self.hold_remaining_s(now)
+        return 0.0
+
     def turn_cold(self, reason: str, now: float) -> str:
         """Take the server as cold from now on."""
         self._cold.turn_cold(now)
--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -303,6 +303,8 @@
         if open_call.call.retry_budget < open_call.retries + 1:
             return False
         service = self._service_by_key[open_call.call.service]
+        if reason == "overloaded" and service.router.spare_share(now) <= 0:
+            return False
         if not service.retry_budget.spend(now):
             return False
         open_call.retries += 1
--- a/src/pollenroad/guard.py
+++ b/src/pollenroad/guard.py
@@ -16,7 +16,6 @@
     Event,
     MembershipChanged,
     PeerReceived,
-    Record,
     RunAtServer,
     SendPeer,
     ServerAnswered,
@@ -27,6 +26,8 @@
     Tick,
 )
 from pollenroad.capacity import Capacity, incarnation_of
+from pollenroad.closing import LEAVING, NOT_HERE, Closing
+from pollenroad.guardrecords import GuardRecords
 from pollenroad.guardstate import GuardView
 from pollenroad.handover import HandOverAges, SeenAttempts
 from pollenroad.measuring import MeasuringShare
@@ -38,8 +39,7 @@
     LoadReport,
     Response,
 )
-from pollenroad.models import Endpoint, RequestClass, ServiceDocument
-from pollenroad.refusals import Refusals
+from pollenroad.models import RequestClass, ServiceDocument
 from pollenroad.reporting import Reporting
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
@@ -47,9 +47,6 @@
 BEAT_S = 0.1
 """Time between two looks at reports, probes and the clock, in seconds."""
 
-PAUSE_S = 0.25
-"""Lateness of a beat from which this process is taken to have been paused, in seconds."""
-
 
 class Guard:
     """State of one guard: its endpoint, what runs at its server, and what it has seen."""
@@ -57,8 +54,9 @@
     def __init__(self, service: str, vm: str):
         self._service = service
         self._vm = vm
-        self._document: ServiceDocument | None = None
-        self._endpoint: Endpoint | None = None
+        self._slots = 0
+        self._closing = Closing(vm)
+        self._closed = self._closing.reason
         self._class_by_name: dict[str, RequestClass] = {}
         self._longest_s = 0.0
         self._capacity: Capacity | None = None
@@ -68,12 +66,9 @@
         self._seen = SeenAttempts()
         self._ages = HandOverAges()
         self._reporting = Reporting()
-        self._refusals = Refusals(service)
+        self._records = GuardRecords(service)
         self._timers = Timers()
-        self._stopping = False
-        self._vm_leaving = False
         self._now = 0.0
-        self._recorded_state = ""
 
     # --- What the shell and `status` read ---
 
@@ -90,7 +85,7 @@
     @property
     def bound(self) -> int:
         """Requests that may be in flight at the server, as of the last event."""
-        return 0 if self._closed() else self._capacity.bound(self._now)
+        return 0 if self._closed else self._capacity.bound(self._now)
 
     @property
     def measuring(self) -> MeasuringShare:
@@ -108,8 +103,7 @@
         return self._view().why(self._now)
 
     def _view(self) -> GuardView:
-        slots = self._document.slots if self._document else 0
-        return GuardView(self._closed(), self.in_flight, slots, self._capacity)
+        return GuardView(self._closed, self.in_flight, self._slots, self._capacity)
 
     def next_due(self) -> float | None:
         """Return when `Tick` is next needed, in monotonic seconds."""
@@ -119,12 +113,12 @@
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event and return what is to be done."""
-        if self._now and now - self._now > BEAT_S + PAUSE_S:
-            self._ages.paused(now - self._now, now)
+        if self._capacity:
+            self._ages.awake(now)
         self._now = now
         actions = self._dispatch(event, now)
         actions += self._fill(now)
-        actions += self._record_state()
+        actions += self._records.state(self._view(), now)
         return actions
 
     def _dispatch(self, event: Event, now: float) -> list[Action]:
@@ -144,11 +138,11 @@
             case DocumentInForce(ServiceDocument() as document):
                 return self._on_document(document, now)
             case MembershipChanged(leaving):
-                self._vm_leaving = self._vm in leaving
-                return self._close(now)
+                self._closing.vm_leaving = self._vm in leaving
+                return self._reconsider(now)
             case StopRequested():
-                self._stopping = True
-                return self._close(now)
+                self._closing.stopping = True
+                return self._reconsider(now)
             case Tick():
                 return self._on_tick(now)
         return []
@@ -156,40 +150,29 @@
     def _on_document(self, document: ServiceDocument, now: float) -> list[Action]:
         if document.key != self._service:
             return []
-        was_closed = bool(self._closed())
-        self._document = document
-        self._endpoint = next((e for e in document.endpoints if e.vm == self._vm), None)
+        self._slots = document.slots
+        self._closing.configure(document)
         self._class_by_name = {c.name: c for c in document.classes}
         self._longest_s = max((c.deadline_ms / 1000 for c in document.classes), default=0.0)
-        self.measuring.configure(document, self._endpoint is not None, now)
+        self.measuring.configure(document, self._closing.endpoint is not None, now)
         if self._capacity is None:
             self._capacity = Capacity(document, now)
+            self._closed = ""
+            self._ages.awake(now)
             self._timers.set(("beat", ""), now + BEAT_S)
-        elif was_closed and not self._closed():
-            self._capacity.turn_cold("return to service", now)
         self._capacity.configure(document)
-        return self._close(now)
-
-    # --- Closing to new work ---
-
-    def _closed(self) -> str:
-        """Return the reason for which this guard takes no new work, or an empty string."""
-        if self._stopping or self._vm_leaving:
-            return "leaving"
-        if self._document is None or self._endpoint is None:
-            return "not-here"
-        out = self._document.out_of_service
-        if self._endpoint.failure_domain in out.failure_domains or self._vm in out.vms:
-            return "out-of-service"
-        return ""
-
-    def _close(self, now: float) -> list[Action]:
-        """Refuse what waits if there is no new work, so that the entries try elsewhere."""
-        reason = self._closed()
-        if not reason:
+        return self._reconsider(now)
+
+    def _reconsider(self, now: float) -> list[Action]:
+        """Close to new work or open again; what waits is refused, to be tried elsewhere."""
+        before = self._closed
+        self._closed = self._closing.reason
+        if not self._closed:
+            if before:
+                self._capacity.turn_cold("return to service", now)
             return []
-        actions = self._refuse_all(self._queue.clear(), reason)
-        if reason == "leaving":
+        actions = self._refuse_all(self._queue.clear(), self._closed)
+        if self._closed == LEAVING and before != LEAVING:
             peers = self._reporting.subscribers.recent(now)
             actions += [SendPeer(peer, Leaving(self._vm)) for peer in peers]
         return actions
@@ -199,30 +182,28 @@
     def _on_attempt(self, peer: str, attempt: Attempt, now: float) -> list[Action]:
         age_ms = self._ages.age_s(attempt, now) * 1000
         self._reporting.subscribers.attempted(peer, now)
-        if attempt.attempt_id in self._seen:
+        if attempt.attempt_id in self._seen or self._seen.is_full(now):
             return []
         attempt = replace(attempt, remaining_ms=attempt.remaining_ms - age_ms)
         request_class = self._class_by_name.get(attempt.request_class)
         waiting = make_waiting(peer, attempt, request_class, now, self._service_s())
-        if refusal := self._refusal(waiting):
-            self._seen.add(attempt.attempt_id, self._longest_s, now)
-            return self._refuse(waiting, refusal)
+        refusal = self._refusal(waiting)
         self._seen.add(attempt.attempt_id, self._longest_s, now)
+        if refusal:
+            return self._refuse(waiting, refusal)
         self._queue.add(waiting)
         self._timers.set(("start", attempt.attempt_id), waiting.start_by)
         return []
 
     def _refusal(self, waiting: Waiting) -> str:
         if waiting.attempt.service != self._service:
-            return "not-here"
-        if reason := self._closed():
-            return reason
+            return NOT_HERE
+        if self._closed:
+            return self._closed
         if waiting.request_class is None:
             return "unknown-class"
         if waiting.attempt.remaining_ms <= 0:
             return "deadline"
-        if self._seen.is_full:
-            return "overloaded"
         if self.bound == 0:
             return "server-down"
         return ""
@@ -236,20 +217,13 @@
     def _refuse(self, waiting: Waiting, reason: str) -> list[Action]:
         attempt_id = waiting.attempt.attempt_id
         self._timers.cancel(("start", attempt_id))
-        retry_after_ms = self._retry_after_s(reason) * 1000
+        later_s = (
+            self._capacity.retry_after_s(reason, self.queued, self._now) if self._capacity else 0
+        )
         answer = AttemptAnswer(
-            attempt_id, Verdict.NOT_RUN.value, reason, retry_after_ms=retry_after_ms
+            attempt_id, Verdict.NOT_RUN.value, reason, retry_after_ms=later_s * 1000
         )
-        return [self._refusals.refused(waiting.attempt, reason), self._send(waiting.peer, answer)]
-
-    def _retry_after_s(self, reason: str) -> float:
-        match reason:
-            case "overloaded":
-                waves = (1 + self.queued) / max(1, self.bound)
-                return max(1.0, waves) * self._service_s()
-            case "server-down":
-                return self._capacity.hold_remaining_s(self._now)
-        return 0.0
+        return [self._records.refused(waiting.attempt, reason), self._send(waiting.peer, answer)]
 
     def _fill(self, now: float) -> list[Action]:
         """Start what waits while there are slots, and refuse what cannot start in time."""
@@ -296,7 +270,7 @@
         incarnation = incarnation_of(response)
         sign = self._capacity.served(name, running.started, incarnation, self.in_flight, now)
         answer = AttemptAnswer(attempt_id, Verdict.RAN.value, response=response)
-        return self._record_cold(sign) + self._end(answer, now)
+        return self._records.fell_cold(sign) + self._end(answer, now)
 
     def _on_failed(self, attempt_id: str, reached: bool, reason: str, now: float) -> list[Action]:
         running = self._at_server.get(attempt_id)
@@ -305,21 +279,21 @@
         sign = self._capacity.failed(reason, now) if running.is_wanted else ""
         verdict = Verdict.UNKNOWN if reached else Verdict.NOT_RUN
         answer = AttemptAnswer(attempt_id, verdict.value, reason)
-        return self._record_cold(sign) + self._end(answer, now)
+        return self._records.fell_cold(sign) + self._end(answer, now)
 
     def _on_shed(self, attempt_id: str, draining: bool, now: float) -> list[Action]:
         if self._at_server.get(attempt_id) is None:
             return []
         sign = self._capacity.shed(self.in_flight - 1, draining, now)
         answer = AttemptAnswer(attempt_id, Verdict.NOT_RUN.value, "shed")
-        return self._record_cold(sign) + self._end(answer, now)
+        return self._records.fell_cold(sign) + self._end(answer, now)
 
     def _on_probed(self, event: ServerProbed, now: float) -> list[Action]:
         if not self._reporting.is_probing:
             return []
         self._reporting.is_probing = False
         sign = self._capacity.probed(event.succeeded, event.incarnation, event.draining, now)
-        return self._record_cold(sign)
+        return self._records.fell_cold(sign)
 
     def _end(self, answer: AttemptAnswer, now: float) -> list[Action]:
         running = self._at_server.end(answer.attempt_id, now)
@@ -353,14 +327,15 @@
 
     def _on_beat(self, now: float) -> list[Action]:
         self._timers.set(("beat", ""), now + BEAT_S)
-        actions = self._refusals.summary(now)
+        actions = self._records.refusals(now)
         actions += self._reporting.probe(self.in_flight < self.bound, now)
         return actions + self._reporting.push(self._report(), now)
 
     def _report(self) -> LoadReport:
+        endpoint = self._closing.endpoint
         return LoadReport(
             service=self._service,
-            endpoint=self._endpoint.name if self._endpoint else "",
+            endpoint=endpoint.name if endpoint else "",
             in_flight=self.in_flight,
             queued=self.queued,
             bound=self.bound,
@@ -369,20 +344,6 @@
             sequence=self._reporting.next_sequence(),
         )
 
-    # --- Records ---
-
-    def _record_cold(self, sign: str) -> list[Action]:
-        if not sign:
-            return []
-        return [Record("server_fell_cold", (("service", self._service), ("sign", sign)))]
-
-    def _record_state(self) -> list[Action]:
-        state = self.state
-        if state == self._recorded_state:
-            return []
-        self._recorded_state = state
-        return [Record(f"guard_{state}", (("service", self._service), ("why", self.why)))]
-
 
 def make_guard(service: str, vm: str) -> Guard:
     """Make the guard of the server of `service` on `vm`."""
--- /dev/null
+++ b/src/pollenroad/guardrecords.py
@@ -0,0 +1,54 @@
+"""The records of a guard: changes of its state, cold servers, and what it refused."""
+
+from collections import Counter
+
+from pollenroad.boundary import Record
+from pollenroad.guardstate import GuardView
+from pollenroad.messages import Attempt
+
+SUMMARY_S = 1.0
+"""Time between two sums of the refused attempts, in seconds."""
+
+
+class GuardRecords:
+    """Makes the records of one guard, each change of state once."""
+
+    def __init__(self, service: str):
+        self._service = service
+        self._state = ""
+        self._count_by_reason: Counter[str] = Counter()
+        self._due = 0.0
+
+    def refused(self, attempt: Attempt, reason: str) -> Record:
+        """Count a refused attempt and return its record."""
+        self._count_by_reason[reason] += 1
+        fields = (
+            ("request_id", attempt.request_id),
+            ("attempt_id", attempt.attempt_id),
+            ("service", self._service),
+            ("reason", reason),
+        )
+        return Record("attempt_refused", fields)
+
+    def refusals(self, now: float) -> list[Record]:
+        """Return the sum of the refused attempts, if one is due and there is something in it."""
+        if now < self._due or not self._count_by_reason:
+            return []
+        self._due = now + SUMMARY_S
+        counts = ", ".join(f"{n} {reason}" for reason, n in sorted(self._count_by_reason.items()))
+        self._count_by_reason.clear()
+        return [Record("guard_refusing", (("service", self._service), ("counts", counts)))]
+
+    def fell_cold(self, sign: str) -> list[Record]:
+        """Return the record of a sign of a cold server; none for an empty sign."""
+        if not sign:
+            return []
+        return [Record("server_fell_cold", (("service", self._service), ("sign", sign)))]
+
+    def state(self, view: GuardView, now: float) -> list[Record]:
+        """Return the record of a state that differs from the last one."""
+        if view.state == self._state:
+            return []
+        self._state = view.state
+        fields = (("service", self._service), ("why", view.why(now)))
+        return [Record(f"guard_{view.state}", fields)]
--- a/src/pollenroad/guardstate.py
+++ b/src/pollenroad/guardstate.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from pollenroad import closing
 from pollenroad.capacity import Capacity
 
 
@@ -20,9 +21,9 @@
     def state(self) -> str:
         """`out`, `draining`, `drained`, `down`, `cold` or `serving`."""
         match self.closed:
-            case "leaving":
+            case closing.LEAVING:
                 return "draining" if self.in_flight else "drained"
-            case "out-of-service" | "not-here":
+            case closing.OUT_OF_SERVICE | closing.NOT_HERE:
                 return "out"
         if self.capacity.is_down:
             return "down"
@@ -31,7 +32,7 @@
     def why(self, now: float) -> str:
         """Explain the state in one plain sentence."""
         match self.state:
-            case "out" if self.closed == "not-here":
+            case "out" if self.closed == closing.NOT_HERE:
                 return "out: no document in force names this VM as an endpoint"
             case "out":
                 return f"out: operators took it out of service, {self.in_flight} still in flight"
--- a/src/pollenroad/handover.py
+++ b/src/pollenroad/handover.py
@@ -17,13 +17,17 @@
 """Time for which an attempt id is remembered, as a multiple of the longest deadline."""
 
 SEEN_MAX = 100_000
-"""Attempt ids remembered at most. A guard that is full refuses new attempts: it forgets none
-early."""
+"""Attempt ids remembered at most. A guard that is full answers no new attempt: it could not tell
+whether it has refused it before, and forgets none early."""
 
 DELAY_WINDOW_S = 30.0
 """Time after which the quickest delay of an entry is learnt anew, in seconds, so that the drift
 between two clocks stays small."""
 
+PAUSE_S = 0.35
+"""Time without any event from which this process is taken to have been paused, in seconds. A guard
+with a document in force has one each tenth of a second."""
+
 DOUBT_S = 0.5
 """Time after a pause in which attempts of unknown entries are taken to be as old as the pause, in
 seconds: by then the socket buffers have been read."""
@@ -42,9 +46,9 @@
     def __contains__(self, attempt_id: str) -> bool:
         return attempt_id in self._expiry_by_id
 
-    @property
-    def is_full(self) -> bool:
-        """Whether no further id can be remembered."""
+    def is_full(self, now: float) -> bool:
+        """Tell whether no further id can be remembered."""
+        self._expire(now)
         return len(self._expiry_by_id) >= SEEN_MAX
 
     def add(self, attempt_id: str, longest_s: float, now: float) -> None:
@@ -55,8 +59,7 @@
             longest_s: Longest deadline of any class, in seconds.
             now: Monotonic time in seconds.
         """
-        self._expire(now)
-        if attempt_id in self._expiry_by_id:
+        if attempt_id in self._expiry_by_id or self.is_full(now):
             return
         expiry = now + max(SEEN_MIN_S, longest_s * SEEN_FACTOR)
         self._expiry_by_id[attempt_id] = expiry
@@ -90,13 +93,17 @@
 
     def __init__(self):
         self._delay_by_entry: OrderedDict[str, _Delay] = OrderedDict()
+        self._last_awake = 0.0
         self._woke = 0.0
         self._pause_s = 0.0
 
-    def paused(self, pause_s: float, now: float) -> None:
-        """Note that this process did nothing for `pause_s` seconds until `now`."""
-        self._woke = now
-        self._pause_s = pause_s
+    def awake(self, now: float) -> None:
+        """Note that this process runs at `now`, and whether it was paused before."""
+        idle_s = now - self._last_awake
+        if self._last_awake and idle_s > PAUSE_S:
+            self._woke = now
+            self._pause_s = idle_s
+        self._last_awake = now
 
     def age_s(self, attempt: Attempt, now: float) -> float:
         """Return for how long an attempt was under way, in seconds, at least.
--- a/src/pollenroad/retries.py
+++ b/src/pollenroad/retries.py
@@ -32,16 +32,19 @@
     ratio: float
     """Tokens gained by each first attempt."""
     per_s: float
-    """Tokens gained each second."""
+    """Tokens gained each second at the least, so that a quiet service may retry."""
     capacity: float
     """Most tokens that the bucket holds."""
     tokens: float
     updated_at: float
+    paid: float = 0.0
+    """Tokens gained from first attempts since `updated_at`."""
 
     def _refill(self, now: float) -> None:
         elapsed_s = max(0.0, now - self.updated_at)
         self.updated_at = now
-        self._gain(elapsed_s * self.per_s)
+        self._gain(max(0.0, elapsed_s * self.per_s - self.paid))
+        self.paid = 0.0
 
     def _gain(self, tokens: float) -> None:
         self.tokens = min(self.capacity, self.tokens + tokens)
@@ -49,6 +52,7 @@
     def first_attempt(self) -> None:
         """Pay in the share of one first attempt."""
         self._gain(self.ratio)
+        self.paid += self.ratio
 
     def fullness(self, now: float) -> float:
         """Return the share of the bucket that is full, from 0 to 1."""
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -1,6 +1,7 @@
 """Tests of the guard: duplicates, lateness, cancellation, drain and what it reports."""
 
 import unittest
+from unittest import mock
 
 from pollenroad.boundary import (
     CancelAtServer,
@@ -13,6 +14,7 @@
     Tick,
 )
 from pollenroad.guard import make_guard
+from pollenroad.handover import SEEN_MIN_S
 from pollenroad.messages import CancelAttempt, Leaving
 from tests.guards import GuardDriver, answers, attempt, document, out_of_service, started
 
@@ -25,6 +27,15 @@
         driver.answer("entry-1")
         self.assertEqual(driver.offer(attempt(1)), [])
 
+    def test_a_full_memory_of_ids_answers_nothing_until_the_oldest_expire(self):
+        driver = GuardDriver(now=100.0)
+        with mock.patch("pollenroad.handover.SEEN_MAX", 2):
+            driver.offer(attempt(1), attempt(2))
+            self.assertEqual(driver.offer(attempt(3)), [])
+            driver.answer("entry-1")
+            driver.tick_until(100.0 + SEEN_MIN_S)
+            self.assertEqual(started(driver.offer(attempt(4))), ["entry-4"])
+
     def test_an_attempt_cancelled_before_it_came_never_runs(self):
         driver = GuardDriver()
         driver.handle(PeerReceived("entry", CancelAttempt("entry-1")))
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -20,6 +20,14 @@
         allowed = [budget.spend(now) for now in (0.0, 0.1, 1.0, 1.5, 2.0)]
         self.assertEqual(allowed, [True, False, True, False, True])
 
+    def test_time_adds_nothing_to_what_busy_first_attempts_pay(self):
+        budget = make_retry_budget(RetryRules(budget_ratio=0.1, min_per_s=1.0), now=0.0)
+        spent = 0
+        for number in range(10_000):
+            budget.first_attempt()
+            spent += budget.spend(number / 100)
+        self.assertIn(spent, (1000, 1001))
+
     def test_an_idle_budget_does_not_grow_without_bound(self):
         budget = make_retry_budget(RetryRules(budget_ratio=0.1, min_per_s=1.0), now=0.0)
         spent = sum(budget.spend(3600.0) for _ in range(100))
