Let an answer take longer than the opening of its connection

An answer that breaks off had many reason codes.

Change: the connection's own timeout is the attempt's; the probe takes a connection; a broken connection is "server-reset", which the guard takes as a sign of a cold server.

--- a/src/pollenroad/capacity.py
+++ b/src/pollenroad/capacity.py
@@ -1,6 +1,6 @@
 """What the server beside a guard bears now, from its declaration and from what the guard sees."""
 
-from pollenroad.coldstart import UNREACHABLE, ColdSigns, ColdStart, Hold
+from pollenroad.coldstart import SERVER_UNREACHABLE, ColdSigns, ColdStart, Hold
 from pollenroad.concurrency import AdaptiveBound
 from pollenroad.messages import Response
 from pollenroad.models import ServiceDocument
@@ -124,7 +124,7 @@
     def failed(self, reason: str, now: float) -> str:
         """Take an exchange that failed, with the reason that the shell states."""
         sign = self._signs.failed(reason)
-        if reason == UNREACHABLE:
+        if reason == SERVER_UNREACHABLE:
             self._hold.refused(now)
         return self.turn_cold(sign, now) if sign else ""
 
--- a/src/pollenroad/coldstart.py
+++ b/src/pollenroad/coldstart.py
@@ -32,10 +32,10 @@
 MAX_HOLD_S = 2.0
 """Longest time without work until the next trial, in seconds."""
 
-UNREACHABLE = "server-unreachable"
+SERVER_UNREACHABLE = "server-unreachable"
 """Reason of a `ServerFailed` whose connection could not be opened."""
 
-BROKEN = "server-ProtocolError"
+SERVER_RESET = "server-reset"
 """Reason of a `ServerFailed` whose connection the server closed or reset."""
 
 
@@ -116,9 +116,9 @@
     def failed(self, reason: str) -> str:
         """Take a failed exchange; return the sign of a cold server in it, or an empty string."""
         match reason:
-            case _ if reason == UNREACHABLE:
+            case _ if reason == SERVER_UNREACHABLE:
                 return "connection refused"
-            case _ if reason == BROKEN:
+            case _ if reason == SERVER_RESET:
                 return "connection reset"
         return ""
 
--- a/src/pollenroad/upstream.py
+++ b/src/pollenroad/upstream.py
@@ -6,17 +6,24 @@
 
 import socket
 from collections.abc import Callable
+from http import HTTPStatus
 from http.client import HTTPException
 
 import gevent
 import urllib3
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ProtocolError,
+)
 
 from pollenroad import headers
 from pollenroad.addresses import split_address
 from pollenroad.boundary import Event, ServerAnswered, ServerFailed, ServerProbed, ServerShed
 from pollenroad.capacity import incarnation_of
+from pollenroad.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.logs import log
 from pollenroad.messages import Attempt, Response
 
@@ -125,14 +132,19 @@
 
     def _probe(self, timeout_s: float) -> None:
         event = ServerProbed(succeeded=False)
+        connection = None
         try:
-            answer = self._pool.urlopen("GET", PROBE_PATH, timeout=timeout_s, retries=False)
-            fields = tuple(answer.headers.items())
-            incarnation = incarnation_of(Response(answer.status, fields))
-            event = ServerProbed(answer.status == 200, incarnation)
-        except (HTTPError, OSError):
+            connection = self._connections.take()
+            connection.timeout = timeout_s
+            connection.request("GET", PROBE_PATH)
+            answer = connection.getresponse()
+            incarnation = incarnation_of(Response(answer.status, tuple(answer.headers.items())))
+            event = ServerProbed(answer.status == HTTPStatus.OK, incarnation)
+        except (HTTPError, HTTPException, OSError):
             pass
         finally:
+            if connection is not None:
+                connection.close()
             self._post(event)
 
     def _exchange(self, attempt: Attempt, timeout_s: float) -> None:
@@ -153,12 +165,14 @@
         try:
             connection = self._connections.take()
         except (NewConnectionError, ConnectTimeoutError, OSError):
-            return ServerFailed(attempt_id, reached=False, reason="server-unreachable")
+            return ServerFailed(attempt_id, reached=False, reason=SERVER_UNREACHABLE)
         try:
             answer = self._request(connection, attempt, timeout_s)
         except TimeoutError:
             return ServerFailed(attempt_id, reached=True, reason="deadline")
-        except (HTTPError, HTTPException, OSError) as error:
+        except (ProtocolError, HTTPException, ConnectionError):
+            return ServerFailed(attempt_id, reached=True, reason=SERVER_RESET)
+        except (HTTPError, OSError) as error:
             return ServerFailed(attempt_id, reached=True, reason=f"server-{type(error).__name__}")
         if headers.NOT_RUN in answer.headers:
             draining = answer.headers[headers.NOT_RUN] == "draining"
@@ -171,6 +185,7 @@
     ) -> urllib3.HTTPResponse:
         request = attempt.request
         whole = False
+        connection.timeout = timeout_s
         connection.sock.settimeout(timeout_s)
         try:
             connection.request(
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -3,7 +3,7 @@
 import unittest
 
 from pollenroad.boundary import DocumentInForce, ServerFailed, ServerShed
-from pollenroad.coldstart import BROKEN, UNREACHABLE
+from pollenroad.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.models import ColdStart
 from tests.guards import GuardDriver, attempt, out_of_service, started
 
@@ -62,14 +62,14 @@
     def test_a_broken_connection_turns_the_server_cold_at_once(self):
         driver = warm_driver()
         driver.offer(attempt(1))
-        driver.handle(ServerFailed("entry-1", True, BROKEN))
+        driver.handle(ServerFailed("entry-1", True, SERVER_RESET))
         self.assertEqual(driver.guard.bound, 2)
         self.assertIn("cold since connection reset", driver.guard.why)
 
     def test_a_refused_connection_holds_work_back_and_lets_one_trial_through(self):
         driver = warm_driver()
         driver.offer(attempt(1))
-        driver.handle(ServerFailed("entry-1", False, UNREACHABLE))
+        driver.handle(ServerFailed("entry-1", False, SERVER_UNREACHABLE))
         self.assertEqual((driver.guard.state, driver.guard.bound), ("down", 0))
         self.assertEqual(started(driver.offer(attempt(2))), [])
         driver.tick_until(driver.now + 0.3)
@@ -81,7 +81,7 @@
         driver = warm_driver()
         driver.offer(attempt(1), attempt(2))
         driver.tick_until(driver.now + 0.01)
-        driver.handle(ServerFailed("entry-1", False, UNREACHABLE))
+        driver.handle(ServerFailed("entry-1", False, SERVER_UNREACHABLE))
         driver.answer("entry-2")
         self.assertEqual(driver.guard.state, "down")
 
