--- a/src/pollenroad/capacity.py
+++ b/src/pollenroad/capacity.py
@@ -1,6 +1,6 @@
 """What the server beside a guard bears now, from its declaration and from what the guard sees."""
 
-from pollenroad.coldstart import UNREACHABLE, ColdSigns, ColdStart, Hold
+from pollenroad.coldstart import SERVER_UNREACHABLE, ColdSigns, ColdStart, Hold
 from pollenroad.concurrency import AdaptiveBound
 from pollenroad.messages import Response
 from pollenroad.models import ServiceDocument
@@ -64,6 +64,22 @@
         """Return the time until the next trial of a server that is down, in seconds."""
         return self._hold.remaining_s(now)
 
+    def retry_after_s(self, refusal: str, queued: int, now: float) -> float:
+        """Return when a refused attempt may be worth another try, in seconds; 0 for no advice.
+
+        Args:
+            refusal: Reason of the refusal.
+            queued: Attempts that wait.
+            now: Monotonic time in seconds.
+        """
+        match refusal:
+            case "overloaded":
+                rounds = (1 + queued) / max(1, self.bound(now))
+                return max(1.0, rounds) * self.times.median_s
+            case "server-down":
+                return self.hold_remaining_s(now)
+        return 0.0
+
     def turn_cold(self, reason: str, now: float) -> str:
         """Take the server as cold from now on."""
         self._cold.turn_cold(now)
@@ -108,7 +124,7 @@
     def failed(self, reason: str, now: float) -> str:
         """Take an exchange that failed, with the reason that the shell states."""
         sign = self._signs.failed(reason)
-        if reason == UNREACHABLE:
+        if reason == SERVER_UNREACHABLE:
             self._hold.refused(now)
         return self.turn_cold(sign, now) if sign else ""
 
--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -184,7 +184,7 @@
             class_name = open_call.request_class.name
             router.answered(name, attempt.attempt_id, class_name, now - attempt.sent_at, ok, now)
         else:
-            router.ended(name, attempt.attempt_id, verdict, now)
+            router.ended(name, attempt.attempt_id, verdict, answer.reason, now)
         if answer.load is not None:
             self._services.learn(answer.load, now)
         yield ended_record(open_call, attempt, verdict, answer.reason, now)
@@ -206,7 +206,7 @@
         open_call = self._call_by_id[attempt.call_id]
         open_call.open_attempt_ids.discard(attempt_id)
         router = self._services[open_call.call.service].router
-        router.ended(attempt.endpoint.name, attempt_id, verdict, now)
+        router.ended(attempt.endpoint.name, attempt_id, verdict, reason, now)
         router.unreachable(attempt.endpoint.address, now)
         yield ended_record(open_call, attempt, verdict, reason, now)
         yield from self._after_failure(open_call, verdict, reason, now)
