--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -46,9 +46,9 @@
 
     def test_endpoints_on_leaving_or_dead_vms_get_nothing_until_they_are_back(self):
         router = self.make()
-        router.set_absent(frozenset({"vm-0", "vm-1", "vm-3"}))
+        router.exclude(frozenset({"vm-0", "vm-1", "vm-3"}))
         self.assertEqual(set(self.choices(router, 0.0)), {"booking-2", "booking-4"})
-        router.set_absent(frozenset())
+        router.exclude(frozenset())
         self.assertEqual(set(self.choices(router, 0.0)), {"booking-0", "booking-3"})
 
     def test_the_own_failure_domain_is_preferred_until_it_is_loaded(self):
