--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -87,8 +87,8 @@
                 yield from self._on_peer_lost(peer, now)
             case DocumentInForce(document):
                 self._on_document(document, now)
-            case MembershipChanged(leaving, dead):
-                self._services.set_absent(leaving | dead)
+            case MembershipChanged():
+                self._services.exclude(event.leaving | event.dead)
             case Tick():
                 yield from self._on_tick(now)
 
--- a/src/pollenroad/services.py
+++ b/src/pollenroad/services.py
@@ -77,7 +77,7 @@
         self._rng = rng
         self._document_by_key: dict[str, ServiceDocument] = {}
         self._service_by_key: dict[str, Service] = {}
-        self._absent_vms: frozenset[str] = frozenset()
+        self._excluded_vms: frozenset[str] = frozenset()
 
     def __getitem__(self, key: str) -> Service:
         return self._service_by_key[key]
@@ -87,7 +87,7 @@
         if key not in self._service_by_key and key in self._document_by_key:
             document = self._document_by_key[key]
             router = make_router(document, self._place, self._rng)
-            router.set_absent(self._absent_vms)
+            router.exclude(self._excluded_vms)
             self._service_by_key[key] = Service(document, router, now)
         return self._service_by_key.get(key)
 
@@ -97,11 +97,11 @@
         if document.key in self._service_by_key:
             self._service_by_key[document.key].configure(document, now)
 
-    def set_absent(self, vms: frozenset[str]) -> None:
-        """Take the VMs that are leaving or dead; their endpoints get no new attempts."""
-        self._absent_vms = vms
+    def exclude(self, vms: frozenset[str]) -> None:
+        """Send no new work to endpoints on these VMs."""
+        self._excluded_vms = vms
         for service in self._service_by_key.values():
-            service.router.set_absent(vms)
+            service.router.exclude(vms)
 
     def learn(self, report: LoadReport, now: float) -> None:
         """Take a load report of an endpoint."""
