Read waiting answers before hedging after a pause of the entry itself

Cause: an entry that was paused sees every open attempt as old when it wakes, and would hedge all of them at its first tick although their answers wait in its sockets. Ruled out: taking the pause out of every age (the entry does not know when it began). Change: a tick that is more than 20 ms late puts its hedges off by 5 ms.

--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -41,6 +41,12 @@
 SERVER_ERROR = 500
 """Lowest HTTP status that counts as a failure of the server."""
 
+OVERSLEPT_S = 0.02
+"""Lateness in seconds of a tick after which this process, not the endpoints, has been paused."""
+
+CATCH_UP_S = 0.005
+"""Time in seconds for answers that wait in the sockets of a process that has been paused."""
+
 
 class Entry:
     """State of one entry: open calls, and a router for each service in use."""
@@ -290,8 +296,13 @@
 
     def _on_tick(self, now: float) -> Iterator[Action]:
         self._outcomes.append(self._limits.tick(now))
+        due = self._timers.next_due()
+        overslept = due is not None and now - due > OVERSLEPT_S
         for kind, call_id in self._timers.pop_due(now):
             open_call = self._call_by_id[call_id]
+            if kind == "hedge" and overslept:
+                self._timers.set((kind, call_id), now + CATCH_UP_S)
+                continue
             if kind == "hedge":
                 yield from self._hedge(open_call, now)
                 continue
