--- a/src/pollenroad/bench/limits.py
+++ b/src/pollenroad/bench/limits.py
@@ -14,6 +14,7 @@
 from pollenroad.bench.load import CallMix, CallRecord, Generator, LoadPlan, percentile
 from pollenroad.limit_shares import MAX_SHARES, window_bound
 from pollenroad.models import (
+    ColdStart,
     CustomerLimit,
     Endpoint,
     RequestClass,
@@ -68,6 +69,7 @@
         classes=(RequestClass(name="lookup", idempotent=True, deadline_ms=1000),),
         default_class="lookup",
         endpoints=endpoints,
+        cold_start=ColdStart(bound=100, ramp_s=0.5),
     )
     names = [*(_customer(factor) for factor in FACTORS), CUT_CUSTOMER]
     customers = tuple(
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -38,6 +38,7 @@
     WatchPlatform,
     WatchReturned,
 )
+from pollenroad.control_cost import make_cost_meter
 from pollenroad.entry import make_entry
 from pollenroad.explain import sentences
 from pollenroad.guard import make_guard
@@ -46,6 +47,7 @@
 from pollenroad.limit_owner import make_limit_owner
 from pollenroad.logs import LOGGER, log
 from pollenroad.messages import AttemptAnswer, Leaving, RelayMessage
+from pollenroad.metrics import make_metrics
 from pollenroad.models import Document
 from pollenroad.operator_http import make_operator_server
 from pollenroad.peers import Identity, Peers
@@ -82,7 +84,9 @@
         self._cores = (self.entry, self.guard, self.limit_owner, self.relay)
         self.calls = Calls(self.post)
         self.upstream = Upstream(settings.server, self.post)
-        self.peers = Peers(self._identity(), self.post, self.relay.is_member)
+        self.cost_meter = make_cost_meter()
+        self.metrics = make_metrics(self)
+        self.peers = Peers(self._identity(), self.post, self.relay.is_member, self.cost_meter)
         self.platform = Platform(settings.platform)
         app = make_call_app(self.calls)
         self._call_server = make_call_server(settings.call_address, app, settings.max_connections)
@@ -132,9 +136,10 @@
 
     def _handle(self, event: Event) -> None:
         now = time.monotonic()
-        for core in self._cores_for(event):
-            for action in core.handle(event, now):
-                self._perform(action)
+        with self.cost_meter.handling(event):
+            for core in self._cores_for(event):
+                for action in core.handle(event, now):
+                    self._perform(action)
 
     def _cores_for(self, event: Event) -> tuple:
         """Return the cores that an event concerns; calls do not pass through the relay."""
@@ -179,6 +184,7 @@
                 gevent.spawn(self._read_platform, action)
             case Record(name, fields):
                 self.recent.add(name, fields)
+                self.metrics.record(name, fields)
                 log(name, **dict(fields))
 
     def _schedule_tick(self) -> None:
--- a/src/pollenroad/frames.py
+++ b/src/pollenroad/frames.py
@@ -11,6 +11,9 @@
 """Longest frame that is accepted, in bytes: the largest body and its headers."""
 
 _LENGTH = struct.Struct("!I")
+HEAD_BYTES = _LENGTH.size
+"""Bytes of a frame before its body."""
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(PeerMessage)
 
@@ -38,18 +41,18 @@
     return data if len(data) == count else None
 
 
-def read_message(stream, max_bytes: int = MAX_FRAME_BYTES) -> PeerMessage | None:
-    """Read one message from a buffered binary stream.
+def read_body(stream, max_bytes: int = MAX_FRAME_BYTES) -> bytes | None:
+    """Read the body of one frame from a buffered binary stream.
 
     Args:
         stream: Anything with a blocking `read(count)`.
         max_bytes: Longest frame to accept.
 
     Returns:
-        The message, or None at the end of the stream.
+        The body, or None at the end of the stream.
 
     Raises:
-        PeerError: If the frame is too long or not well formed.
+        PeerError: If the frame is too long.
     """
     head = _read_exactly(stream, _LENGTH.size)
     if head is None:
@@ -57,5 +60,14 @@
     (length,) = _LENGTH.unpack(head)
     if length > max_bytes:
         raise PeerError(f"frame of {length} bytes, limit {max_bytes}")
-    body = _read_exactly(stream, length)
+    return _read_exactly(stream, length)
+
+
+def read_message(stream, max_bytes: int = MAX_FRAME_BYTES) -> PeerMessage | None:
+    """Read and decode one message; as `read_body` otherwise.
+
+    Raises:
+        PeerError: If the frame is too long or not well formed.
+    """
+    body = read_body(stream, max_bytes)
     return None if body is None else decode_message(body)
--- a/src/pollenroad/operator_http.py
+++ b/src/pollenroad/operator_http.py
@@ -4,6 +4,13 @@
 from gevent.pywsgi import WSGIServer
 
 from pollenroad.addresses import split_address
+from pollenroad.metrics import CONTENT_TYPE
+
+
+def _endpoint_name(daemon) -> str:
+    document = daemon.document_by_key.get(daemon.settings.service)
+    endpoints = document.endpoints if document else ()
+    return next((e.name for e in endpoints if e.vm == daemon.settings.vm), "")
 
 
 def _status(daemon) -> dict:
@@ -15,7 +22,13 @@
         "incarnation": daemon.incarnation,
         "ready": daemon.ready,
         "stopping": daemon.stopping,
+        "endpoint": _endpoint_name(daemon),
+        "state": daemon.guard.state,
+        "why": daemon.guard.why,
         "in_flight": daemon.guard.in_flight,
+        "bound": daemon.guard.bound,
+        "p99_ms": daemon.metrics.p99_ms(),
+        "config_version": getattr(daemon.document_by_key.get(settings.service), "version", 0),
         "open_calls": len(daemon.calls),
         "watcher": daemon.relay.is_watcher,
         "leaving_vms": sorted(daemon.relay.view.leaving),
@@ -54,6 +67,11 @@
         bottle.response.content_type = "application/json"
         return daemon.relay.trail.to_json()
 
+    @app.get("/metrics")
+    def metrics():
+        bottle.response.content_type = CONTENT_TYPE
+        return daemon.metrics.text()
+
     @app.get("/recent/<request_id>")
     def recent(request_id: str):
         records = daemon.recent.of_request(request_id)
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -9,6 +9,7 @@
 import hmac
 import secrets
 import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,8 +20,9 @@
 
 from pollenroad.addresses import host_of, split_address
 from pollenroad.boundary import AttemptUnsent, Event, PeerLost, PeerReceived
+from pollenroad.control_cost import CostMeter, make_cost_meter
 from pollenroad.exceptions import PeerError
-from pollenroad.frames import encode_frame, read_message
+from pollenroad.frames import HEAD_BYTES, decode_message, encode_frame, read_body, read_message
 from pollenroad.logs import log
 from pollenroad.messages import (
     PROTOCOL_VERSION,
@@ -69,10 +71,9 @@
 class _Link:
     """One open connection: an outbox, a task that writes it, and a task that reads."""
 
-    def __init__(self, sock, stream, peer: str, on_closed: Callable):
+    def __init__(self, sock, stream, peer: str, on_closed: Callable, meter: CostMeter):
         self.peer = peer
-        self.received_bytes = 0
-        self.sent_bytes = 0
+        self._meter = meter
         self._sock = sock
         self._stream = stream
         self._on_closed = on_closed
@@ -89,6 +90,7 @@
         if self._closed:
             self._on_closed(self, [message])
             return
+        self._meter.sent(message, len(frame))
         if not self._outbox and self._send_at_once(frame):
             return
         self._outbox.append((message, frame))
@@ -105,7 +107,6 @@
             sent = self._sock._sock.send(frame, socket.MSG_DONTWAIT)
         except OSError:
             return False
-        self.sent_bytes += sent
         if sent < len(frame):
             self._rest = frame[sent:]
             self._writing = True
@@ -133,13 +134,12 @@
         self._writing = True
         self._sock.sendall(frame)
         self._writing = False
-        self.sent_bytes += len(frame)
 
     def read(self, on_message: Callable[[PeerMessage], None]) -> None:
         """Pass on every message until the link ends."""
         try:
-            while not self._closed and (message := read_message(self._stream)) is not None:
-                on_message(message)
+            while not self._closed and (body := read_body(self._stream)) is not None:
+                on_message(self._decode(body))
         except PeerError as error:
             log("peer_refused", peer=self.peer, reason=str(error))
         except OSError:
@@ -147,6 +147,12 @@
         finally:
             self.close()
 
+    def _decode(self, body: bytes) -> PeerMessage:
+        start = time.thread_time()
+        message = decode_message(body)
+        self._meter.received(message, len(body) + HEAD_BYTES, time.thread_time() - start)
+        return message
+
     def close(self) -> None:
         if self._closed:
             return
@@ -164,6 +170,7 @@
         identity: How this daemon presents itself.
         post: Takes events for the cores.
         is_member: Tells whether a peer address belongs to a known daemon.
+        meter: Counts what messages cost.
     """
 
     def __init__(
@@ -171,7 +178,9 @@
         identity: Identity,
         post: Callable[[Event], None],
         is_member: Callable[[str], bool],
+        meter: CostMeter | None = None,
     ):
+        self._meter = meter or make_cost_meter()
         self._identity = identity
         self._post = post
         self._is_member = is_member
@@ -254,7 +263,7 @@
         except BaseException:
             sock.close()
             raise
-        return _Link(sock, stream, peer, self._on_dialled_closed)
+        return _Link(sock, stream, peer, self._on_dialled_closed, self._meter)
 
     def _hello(self, nonce: str) -> Hello:
         me = self._identity
@@ -288,7 +297,7 @@
             log("peer_refused", peer=f"{remote[0]}:{remote[1]}", reason=str(error))
             sock.close()
             return
-        link = _Link(sock, stream, hello.address, self._on_accepted_closed)
+        link = _Link(sock, stream, hello.address, self._on_accepted_closed, self._meter)
         self._accepted_by_peer[hello.address] = link
         link.read(lambda message: self._post(PeerReceived(hello.address, message)))
 
