--- a/src/pollenroad/control_cost.py
+++ b/src/pollenroad/control_cost.py
@@ -65,6 +65,11 @@
     def __init__(self):
         self.cost_by_kind = {CALL: Cost(), CONTROL: Cost()}
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes sent to peers, of both kinds."""
+        return sum(cost.sent_bytes for cost in self.cost_by_kind.values())
+
     @contextmanager
     def handling(self, event: Event) -> Iterator[None]:
         """Count the processor time of a `with` block towards the kind of `event`."""
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -189,14 +189,12 @@
         self._pending_by_peer: dict[str, list[PeerMessage]] = {}
         self.cut_peers: frozenset[str] = frozenset()
         """Peers to which nothing is sent, for trying a partition."""
-        self._closed_sent_bytes = 0
         self._server = StreamServer(split_address(identity.address), self._accept, backlog=1024)
 
     @property
     def sent_bytes(self) -> int:
         """Bytes of frames sent to peers so far."""
-        links = [*self._dialled_by_peer.values(), *self._accepted_by_peer.values()]
-        return self._closed_sent_bytes + sum(link.sent_bytes for link in links)
+        return self._meter.sent_bytes
 
     def start(self) -> None:
         """Listen for peers."""
@@ -273,7 +271,6 @@
     def _on_dialled_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._dialled_by_peer.get(link.peer) is link:
             del self._dialled_by_peer[link.peer]
-            self._closed_sent_bytes += link.sent_bytes
         log("peer_lost", peer=link.peer, reason="closed")
         self._report_unsent(unsent)
         self._post(PeerLost(link.peer))
@@ -321,4 +318,3 @@
     def _on_accepted_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._accepted_by_peer.get(link.peer) is link:
             del self._accepted_by_peer[link.peer]
-            self._closed_sent_bytes += link.sent_bytes
