--- a/src/pollenroad/bench/limits.py
+++ b/src/pollenroad/bench/limits.py
@@ -83,7 +83,7 @@
     customer: str, rate: float, entries: tuple[str, ...], seconds: float, seed: int, even: bool
 ) -> LoadPlan:
     mix = CallMix(service=SERVICE, customer=customer, rate_per_s=rate)
-    return LoadPlan(entries=entries, mixes=(mix,), seconds=seconds, seed=seed, even=even)
+    return LoadPlan(entries=entries, mixes=(mix,), seconds=seconds, seed=seed, poisson=not even)
 
 
 def _skewed_plans(fleet: Fleet, seed: int) -> Iterator[LoadPlan]:
