Let a daemon without reachable peers go on reading the platform by itself

Cause: its own read of the list of VMs counted as a sign that relays bring news, so a daemon that is no watcher and reached no peer read nothing more for 45 s (seen with one real daemon whose peers did not exist: not ready within 40 s). Change: only reads of watchers count as such a sign; the documents of the daemon's own service and workspace are read first. The test of the trail publishes a change in a running fleet, because at a small fleet's start every daemon may read the platform itself.

--- a/src/pollenroad/bench/relay_worker.py
+++ b/src/pollenroad/bench/relay_worker.py
@@ -74,6 +74,7 @@
             vm.address,
             vm.failure_domain,
             int(time.time() * 1000),
+            "",
             seeds,
             plan.fleet_hint,
             time.time() - time.monotonic(),
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -99,6 +99,7 @@
             settings.peer_address,
             settings.failure_domain,
             int(time.time() * 1000),
+            settings.service,
             settings.seeds,
             settings.fleet_hint,
             time.time() - time.monotonic(),
--- a/src/pollenroad/relay.py
+++ b/src/pollenroad/relay.py
@@ -80,6 +80,8 @@
     failure_domain: str
     incarnation: int
     """Milliseconds since the epoch at the start of the process, so that it grows by restarts."""
+    service: str = ""
+    """Key of the service of the server beside this daemon; its document is read first."""
     seeds: tuple[str, ...] = ()
     """Peer addresses to ask first, before any document is known."""
     fleet_hint: int = 11_000
@@ -98,7 +100,7 @@
         self.configuration = make_configuration()
         self.directory = make_directory()
         self._spreading = make_spreading(self.configuration, self.trail, explain)
-        self._reads = PlatformReads(self.configuration, settings.fleet_hint, rng)
+        self._reads = PlatformReads(self.configuration, settings.fleet_hint, settings.service, rng)
         self._joining = make_joining()
         self._links = Links(settings.seeds)
         self._liveness = Liveness(
@@ -111,6 +113,7 @@
         )
         self.ready = False
         self._platform_seen_at: float | None = None
+        self._read_at = float("-inf")
         self._tick_at = 0.0
         self._heartbeat_at = 0.0
         self._refresh_at = 0.0
@@ -133,7 +136,7 @@
         return not len(self.directory) or self.directory.name_at(address) is not None
 
     def platform_age_s(self, now: float) -> float:
-        """Return the seconds since any daemon is known to have read the platform."""
+        """Return the seconds since any watcher is known to have read the platform."""
         return float("inf") if self._platform_seen_at is None else now - self._platform_seen_at
 
     def next_due(self) -> float:
@@ -160,10 +163,10 @@
             case DocumentRead(key, data):
                 return self._on_read(key, data, now)
             case DocumentsListed():
-                self._platform_seen_at = now
+                self._note_read(now)
                 self._reads.on_list(event, now)
             case WatchReturned():
-                self._platform_seen_at = now
+                self._note_read(now)
                 self._reads.on_watch(event, now)
             case VmsListed():
                 return self._on_vms(event, now)
@@ -206,8 +209,14 @@
 
     # --- Documents ---
 
+    def _note_read(self, now: float) -> None:
+        """Note a read; only those of watchers show that relays bring news of the platform."""
+        self._read_at = now
+        if self._reads.is_watcher:
+            self._platform_seen_at = now
+
     def _on_read(self, key: str, data: bytes | None, now: float) -> list[Action]:
-        self._platform_seen_at = now
+        self._note_read(now)
         actions = self._offer(key, data, PLATFORM, now) if data is not None else []
         self._reads.on_read(DocumentRead(key, data), now)
         return actions
@@ -262,7 +271,7 @@
     # --- The platform's list of VMs ---
 
     def _on_vms(self, event: VmsListed, now: float) -> Iterable[Action]:
-        self._platform_seen_at = now
+        self._note_read(now)
         self._reads.on_vms(event)
         if not self.ready and not len(self.configuration):
             vms = (Vm(vm.name, vm.address, vm.failure_domain) for vm in event.vms)
@@ -316,7 +325,7 @@
         if not len(self.configuration):
             return
         settled = self._spreading.is_settled and self._reads.is_settled
-        is_read = self.platform_age_s(now) < FRESH_S
+        is_read = min(self.platform_age_s(now), now - self._read_at) < FRESH_S
         if self._joining.is_over(len(links), settled, is_read, now):
             yield from self._start_work(now)
 
--- a/src/pollenroad/watching.py
+++ b/src/pollenroad/watching.py
@@ -69,8 +69,11 @@
 class PlatformReads:
     """Decides the reads of one daemon."""
 
-    def __init__(self, configuration: Configuration, fleet_hint: int, rng: random.Random):
+    def __init__(
+        self, configuration: Configuration, fleet_hint: int, service: str, rng: random.Random
+    ):
         self._configuration = configuration
+        self._first_keys = (service, service.partition("/")[0])
         self._rng = rng
         self._fleet_size = max(1, fleet_hint)
         self._watcher_count = WATCHERS_PER_DOMAIN
@@ -117,7 +120,7 @@
 
         Args:
             now: Monotonic time in seconds.
-            age_s: Time since any daemon is known to have read the platform, in seconds.
+            age_s: Time since any watcher is known to have read the platform, in seconds.
             has_peers: Whether any peer is known.
         """
         if now < self._blocked_until:
@@ -163,11 +166,12 @@
         for key, wanted in list(self._wanted_by_key.items()):
             if 0 < wanted.version <= self._configuration.version(key):
                 del self._wanted_by_key[key]
-        return [
+        ready = [
             key
             for key, wanted in self._wanted_by_key.items()
             if now >= wanted.due and ReadDocument(key) not in self._open
         ]
+        return sorted(ready, key=lambda key: key not in self._first_keys)
 
     # --- Reads of a daemon whose relays are silent ---
 
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -126,6 +126,7 @@
                 vm.address,
                 vm.failure_domain,
                 next(self._starts) * 1_000_000,
+                "merrimack/registry",
                 tuple(chosen),
                 fleet_hint=len(self.vms),
             )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,8 +3,10 @@
 import unittest
 
 from pollenroad.boundary import PeerReceived, StopRequested
+from pollenroad.directory import Vm, make_directory
 from pollenroad.joining import JOIN_WAIT_S
 from pollenroad.messages import DocumentCopy, Leaving
+from pollenroad.watching import WATCHERS_PER_DOMAIN
 from tests.relay_fleet import Fleet, service_bytes
 
 KEY = "merrimack/registry"
@@ -118,11 +120,13 @@
         self.assertIn("two different documents", refused[0].reason)
 
     def test_the_trail_names_source_and_sentences(self):
-        fleet = started(count=12)
+        fleet = started(count=16)
+        self.publish(fleet, 2)
+        self.assert_in_force(fleet, 2, 3)
         sources = set()
         for name in fleet.vm_by_name:
             for entry in fleet.relay(name).trail.entries():
-                if entry.action == "accepted":
+                if entry.action == "accepted" and entry.version == 2:
                     self.assertEqual(entry.sentences, ("A change.",))
                     sources.add(entry.source)
         self.assertIn("platform", sources)
@@ -154,6 +158,21 @@
         reasons = [e.reason for e in fleet.relay("vm-0").trail.entries() if e.action == "startup"]
         self.assertEqual(reasons, ["no peer answered; by the platform alone"])
 
+    def test_without_any_peer_a_daemon_that_is_no_watcher_reads_on_its_own(self):
+        fleet = Fleet(40)
+        services = [f"service-{number}" for number in range(3)]
+        for name in services:
+            fleet.platform.publish(service_bytes(fleet.vms, service=name))
+        directory = make_directory()
+        directory.replace(KEY, [Vm(v.name, v.address, v.failure_domain) for v in fleet.vms])
+        watchers = directory.watchers("fd-0", (), WATCHERS_PER_DOMAIN)
+        alone = next(n for n in sorted(directory.in_domain("fd-0")) if n not in watchers)
+        fleet.start(alone)
+        fleet.run_until(lambda: alone in fleet.ready, 20)
+        self.assertFalse(fleet.relay(alone).is_watcher)
+        self.assertTrue(fleet.ready[alone].alone)
+        fleet.run_until(lambda: len(fleet.relay(alone).configuration) == 4, 20)
+
     def test_without_peers_and_platform_it_takes_no_work(self):
         fleet = Fleet(6)
         fleet.platform.down = True
