--- a/src/pollenroad/boundary.py
+++ b/src/pollenroad/boundary.py
@@ -95,6 +95,16 @@
     draining: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ServerProbed:
+    """A probe of the server ended."""
+
+    succeeded: bool
+    incarnation: str = ""
+    """Incarnation that the server states, if any."""
+    draining: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentInForce:
     """A newer valid document came into force."""
@@ -182,6 +192,7 @@
     | ServerAnswered
     | ServerFailed
     | ServerShed
+    | ServerProbed
     | DocumentInForce
     | StopRequested
     | DocumentRead
@@ -220,7 +231,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RunAtServer:
-    """Send an admitted attempt to the server beside the guard."""
+    """Send an admitted attempt to the server beside the guard.
+
+    Exactly one of `ServerAnswered`, `ServerFailed` and `ServerShed` must follow, also after
+    `CancelAtServer`: until then the attempt counts as being at the server.
+    """
 
     attempt: Attempt
     timeout_s: float
@@ -233,6 +248,13 @@
     attempt_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeServer:
+    """Probe the server beside the guard; `ServerProbed` must follow."""
+
+    timeout_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
     """Write a numbered event of the catalogue in `pollenroad.events`."""
@@ -274,6 +296,7 @@
     | AnswerCall
     | RunAtServer
     | CancelAtServer
+    | ProbeServer
     | Record
     | PlatformRequest
     | DocumentInForce
@@ -299,6 +322,7 @@
     "MembershipChanged",
     "PeerLost",
     "PeerReceived",
+    "ProbeServer",
     "PlatformFailed",
     "PlatformRequest",
     "ReadDocument",
@@ -308,6 +332,7 @@
     "SendPeer",
     "ServerAnswered",
     "ServerFailed",
+    "ServerProbed",
     "ServerShed",
     "StopRequested",
     "Tick",
--- a/src/pollenroad/configuration.py
+++ b/src/pollenroad/configuration.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from pollenroad.checks import check_document
 from pollenroad.exceptions import ConfigurationError
 from pollenroad.messages import DocumentDigest
 from pollenroad.models import Document
@@ -90,6 +91,8 @@
         raise ConfigurationError(key, path.strip("`") or "$", reason) from error
     if document.key != key:
         raise ConfigurationError(key, "$", f"offered as {key}, but names itself {document.key}")
+    for problem in check_document(document):
+        raise ConfigurationError(key, problem.path, problem.reason, problem.hint)
     return document
 
 
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -26,6 +26,7 @@
     PeerReceived,
     PlatformFailed,
     PlatformRequest,
+    ProbeServer,
     ReadDocument,
     Record,
     RelayReady,
@@ -38,8 +39,11 @@
     WatchReturned,
 )
 from pollenroad.entry import make_entry
+from pollenroad.explain import sentences
 from pollenroad.guard import make_guard
+from pollenroad.headroom import capacity_warnings
 from pollenroad.http import Calls, make_call_app, make_call_server
+from pollenroad.limit_owner import make_limit_owner
 from pollenroad.logs import LOGGER, log
 from pollenroad.messages import AttemptAnswer, Leaving, RelayMessage
 from pollenroad.models import Document
@@ -73,7 +77,9 @@
         rng = random.Random(self.incarnation)
         self.entry = make_entry(self.incarnation, settings.failure_domain, rng, settings.vm)
         self.guard = make_guard(settings.service, settings.vm)
+        self.limit_owner = make_limit_owner(settings.peer_address, time.monotonic())
         self.relay = make_relay(self._relay_settings(), _explain, rng)
+        self._cores = (self.entry, self.guard, self.limit_owner, self.relay)
         self.calls = Calls(self.post)
         self.upstream = Upstream(settings.server, self.post)
         self.peers = Peers(self._identity(), self.post, self.relay.is_member)
@@ -135,7 +141,7 @@
         """Return the cores that an event concerns; calls do not pass through the relay."""
         match event:
             case Tick() | StopRequested() | PeerReceived(_, Leaving()):
-                return (self.entry, self.guard, self.relay)
+                return self._cores
             case PeerReceived(_, AttemptAnswer(reason="leaving")):
                 return (self.entry, self.guard, self.relay)
             case PeerReceived(_, message) if isinstance(message, RelayMessage):
@@ -148,7 +154,7 @@
                 | PlatformFailed()
             ):
                 return (self.relay,)
-        return (self.entry, self.guard)
+        return (self.entry, self.guard, self.limit_owner)
 
     def _perform(self, action: Action) -> None:
         match action:
@@ -160,6 +166,8 @@
                 self.upstream.run(attempt, timeout_s)
             case CancelAtServer(attempt_id):
                 self.upstream.cancel(attempt_id)
+            case ProbeServer(timeout_s):
+                self.upstream.probe(timeout_s)
             case DocumentInForce(document):
                 self.document_by_key[document.key] = document
                 log("document_in_force", key=document.key, version=document.version)
@@ -180,7 +188,7 @@
             self._timer_wake.set()
 
     def _next_due(self) -> float:
-        dues = (core.next_due() for core in (self.entry, self.guard, self.relay))
+        dues = (core.next_due() for core in self._cores)
         return min((due for due in dues if due is not None), default=float("inf"))
 
     def _run_timer(self) -> None:
@@ -239,7 +247,8 @@
 
 
 def _explain(previous: Document | None, document: Document) -> list[str]:
-    return [f"Version {document.version} of {document.key} came into force."]
+    warnings = capacity_warnings(previous, document)
+    return [*sentences(previous, document), *(str(warning) for warning in warnings)]
 
 
 def _log_task_failure(context, kind, value, traceback) -> None:
--- a/src/pollenroad/operator_http.py
+++ b/src/pollenroad/operator_http.py
@@ -42,6 +42,13 @@
     def status():
         return _status(daemon)
 
+    @app.put("/cuts")
+    def cuts():
+        if not daemon.settings.allow_cuts:
+            raise bottle.HTTPError(403, "the settings do not allow cuts")
+        daemon.peers.cut_peers = frozenset(bottle.request.json)
+        return {}
+
     @app.get("/audit")
     def audit():
         bottle.response.content_type = "application/json"
--- a/src/pollenroad/retries.py
+++ b/src/pollenroad/retries.py
@@ -19,7 +19,9 @@
 HEDGE_BURST = 300.0
 """First attempts whose shares a full hedge budget holds: one stall makes many attempts late."""
 
-TEACHING_REASONS = frozenset({"leaving", "out-of-service", "not-here", "unreachable"})
+TEACHING_REASONS = frozenset(
+    {"leaving", "out-of-service", "not-here", "server-down", "unreachable"}
+)
 """Refusals after which the entry shuns the endpoint: they are rare, and retried free of charge."""
 
 
@@ -48,6 +50,11 @@
         """Pay in the share of one first attempt."""
         self._gain(self.ratio)
 
+    def fullness(self, now: float) -> float:
+        """Return the share of the bucket that is full, from 0 to 1."""
+        self._refill(now)
+        return self.tokens / self.capacity if self.capacity else 0.0
+
     def spend(self, now: float) -> bool:
         """Take one token; tell whether there was one."""
         self._refill(now)
