--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -16,6 +16,8 @@
 from pollenroad.messages import DocumentDigest
 from pollenroad.models import CustomerLimit, WorkspaceDocument
 
+LIMIT = b'{"name":"club-a","rate_per_s":10.0,"concurrency":5}'
+
 
 def workspace(version: int, name: str = "merrimack", rate: float = 10.0) -> bytes:
     limit = CustomerLimit(name="club-a", rate_per_s=rate, concurrency=5)
@@ -69,6 +71,9 @@
             "out of bounds": workspace(2).replace(b'"concurrency":5', b'"concurrency":0'),
             "no version": workspace(2).replace(b'"version":2,', b""),
             "another key": workspace(2, name="tengerbulag"),
+            "limits repeated": workspace(2).replace(
+                b'"customers":[', b'"customers":[' + LIMIT + b","
+            ),
             "too large": workspace(2) + b" " * 1_048_576,
         }
         for name, data in broken.items():
