--- a/src/pollenroad/liveness.py
+++ b/src/pollenroad/liveness.py
@@ -49,7 +49,7 @@
         self.membership = make_membership(directory)
         self.monitor = make_monitor()
         self.view = MembershipChanged(frozenset(), frozenset())
-        self.is_view_due = False
+        self.view_due = float("inf")
         self.is_refresh_due = False
 
     def unused(self) -> frozenset[str]:
@@ -75,7 +75,7 @@
         listed = tuple(x for x in listings if self.membership.apply_listing(x))
         if not news and not listed:
             return []
-        self.is_view_due = True
+        self.view_due = now
         links = self._links.addresses(now)
         return [SendPeer(link, VmNews(news, listed)) for link in links if link != peer]
 
@@ -138,7 +138,7 @@
         news = self.membership.apply_list(event.revision, event.vms)
         if not news:
             return ()
-        self.is_view_due = True
+        self.view_due = now
         links = self._links.addresses(now)
         return [
             SendPeer(link, VmNews((), batch))
@@ -185,7 +185,7 @@
 
     def tell_view(self, now: float) -> list[Action]:
         """Return the view for the entry, if it changed."""
-        self.is_view_due = False
+        self.view_due = self.membership.next_belief(now)
         view = self.membership.view(now)
         if view == self.view:
             return []
--- a/src/pollenroad/membership.py
+++ b/src/pollenroad/membership.py
@@ -31,6 +31,10 @@
 DOUBT_S = 10.0
 """Time for which doubt outlasts its cause, in seconds, so that the view does not flap."""
 
+BELIEF_S = 0.4
+"""Age from which the news of a death is believed, in seconds: time to refute it, and to see whether
+many more follow."""
+
 ALIVE_RECORD_S = 600.0
 """Time for which the record of a VM that came back is kept, in seconds."""
 
@@ -143,8 +147,14 @@
         leaving = {s.vm for s in self.statuses() if s.state in (LEAVING, GONE)}
         leaving |= {x.vm for x in self.listings() if x.state == LEAVING}
         dead = self.seeming_dead()
+        fresh = {vm for vm in dead if now - self._record_by_vm[vm].noted_at < BELIEF_S}
         doubtful = frozenset(self._doubtful(dead, now))
-        return MembershipChanged(frozenset(leaving), dead - doubtful, doubtful)
+        return MembershipChanged(frozenset(leaving), dead - doubtful - fresh, doubtful - fresh)
+
+    def next_belief(self, now: float) -> float:
+        """Return when the next news of a death will be believed, or infinity."""
+        ages = (self._record_by_vm[vm].noted_at for vm in self.seeming_dead())
+        return min((at + BELIEF_S for at in ages if now - at < BELIEF_S), default=float("inf"))
 
     def _doubtful(self, dead: frozenset[str], now: float) -> Iterator[str]:
         if not dead:
