Close links whose other end no longer acknowledges

Cause: a link to a VM that lost its power stays open until TCP gives up, minutes later, and messages to the VM's next daemon would wait on it. Change: TCP_USER_TIMEOUT of 5 s on links between daemons. Not shown: needs lost packets, which loopback without packet filters cannot bring about; a paused process still acknowledges, so pauses do not close links.

--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -37,6 +37,8 @@
 DIAL_TIMEOUT_S = 0.5
 HELLO_TIMEOUT_S = 2.0
 HELLO_MAX_BYTES = 4096
+UNACKNOWLEDGED_MS = 5_000
+"""Time for which sent bytes may stay unacknowledged before a link is closed, in milliseconds."""
 MAX_OUTBOX_BYTES = 33_554_432
 """Bytes waiting for one peer, above which its link is closed."""
 MAX_DIRECT_BYTES = 65_536
@@ -60,6 +62,16 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def set_link_options(sock) -> None:
+    """Send small frames at once, and close a link whose other end no longer acknowledges.
+
+    Without the latter a link to a VM that lost its power stays open for minutes, and what is sent
+    to the VM's next daemon waits on it.
+    """
+    set_no_delay(sock)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
 def _proof(key: str, nonce: str, address: str) -> str:
     if not key:
         return ""
@@ -249,7 +261,7 @@
                 if not isinstance(challenge, Hello):
                     raise PeerError("no hello")
                 sock.settimeout(None)
-                set_no_delay(sock)
+                set_link_options(sock)
                 sock.sendall(encode_frame(self._hello(challenge.incarnation)))
         except BaseException:
             sock.close()
@@ -280,7 +292,7 @@
         if len(self._accepted_by_peer) >= MAX_INBOUND_LINKS:
             sock.close()
             return
-        set_no_delay(sock)
+        set_link_options(sock)
         stream = sock.makefile("rb")
         try:
             hello = self._authenticate(sock, stream, remote[0])
