--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -25,7 +25,7 @@
     guard = SimpleNamespace(in_flight=3, bound=20, state="serving")
     return SimpleNamespace(
         cost_meter=make_cost_meter(),
-        guard=guard,
+        cores=SimpleNamespace(guard=guard),
         calls=(),
         ready=True,
         document_by_key={},
