--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -31,9 +31,11 @@
     Tick,
     WatchPlatform,
 )
+from pollenroad.control_cost import make_cost_meter
 from pollenroad.cores import make_cores
 from pollenroad.http import Calls, make_call_app, make_call_server
 from pollenroad.logs import LOGGER, log
+from pollenroad.metrics import make_metrics
 from pollenroad.models import Document
 from pollenroad.operator_http import make_operator_server
 from pollenroad.peers import Identity, Peers
@@ -69,7 +71,9 @@
         )
         self.calls = Calls(self.post, self._refusal)
         self.upstream = Upstream(settings.server, self.post)
-        self.peers = Peers(self._identity(), self.post, self.cores.relay.is_member)
+        self.cost_meter = make_cost_meter()
+        self.metrics = make_metrics(self)
+        self.peers = Peers(self._identity(), self.post, self.cores.relay.is_member, self.cost_meter)
         self.platform = Platform(settings.platform)
         app = make_call_app(self.calls)
         self._call_server = make_call_server(settings.call_address, app, settings.max_connections)
@@ -92,6 +96,7 @@
             settings.peer_address,
             settings.failure_domain,
             int(time.time() * 1000),
+            settings.service,
             settings.seeds,
             settings.fleet_hint,
             time.time() - time.monotonic(),
@@ -124,8 +129,9 @@
         self._schedule_tick()
 
     def _handle(self, event: Event) -> None:
-        for action in self.cores.handle(event, time.monotonic()):
-            self._perform(action)
+        with self.cost_meter.handling(event):
+            for action in self.cores.handle(event, time.monotonic()):
+                self._perform(action)
 
     def _perform(self, action: Action) -> None:
         match action:
@@ -148,6 +154,7 @@
                 gevent.spawn(self._read_platform, action)
             case Record(name, fields):
                 self.recent.add(name, fields)
+                self.metrics.record(name, fields)
                 log(name, **dict(fields))
 
     def _schedule_tick(self) -> None:
