--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -15,14 +15,14 @@
 FIRST_GUESS_S = 0.02
 """Latency in seconds that is assumed while nothing is known."""
 
-WATCH_QUANTILE = 0.5
-"""Quantile of a class's latency after which an open attempt is watched for a stall."""
+TRIAL_LOOK = 0.5
+"""Age from which an attempt at a straggler is looked at, in typical latencies."""
 
-TRIAL_WATCH = 0.5
-"""Age from which an attempt at a straggler is watched, in typical latencies."""
+EARLY_LOOK = 0.25
+"""Part of the needed surprise after which an attempt is looked at; others may raise the rest."""
 
-FIRST_WATCH_S = 1.0
-"""Age in seconds from which an attempt is watched while its class's latency is unknown."""
+FIRST_LOOK_S = 1.0
+"""Age in seconds from which an attempt is looked at while its class's latency is unknown."""
 
 LOAD_COST = 1.0
 """Latencies that a fully used endpoint costs more than an idle one; grows with the square."""
@@ -43,7 +43,7 @@
 """Cost in seconds of an endpoint that takes no new work: only used if all are out."""
 
 UNHEDGED_PATIENCE = 8.0
-"""How much longer a straggler is left alone by calls that cannot be hedged."""
+"""How much longer a straggler is left alone by hedges, retries and calls without hedges."""
 
 CLOSE_S = 0.001
 """Endpoints whose cost is within so many seconds of the least are equally good."""
@@ -112,33 +112,34 @@
         self._rng = rng
         self._turns = itertools.count()
         self._load_by_name: dict[str, EndpointLoad] = {}
-        self._unavailable_vms: frozenset[str] = frozenset()
         self._latencies_by_class: dict[str, Latencies] = {}
+        self._excluded_vms: frozenset[str] = frozenset()
         self.configure(document)
 
     # --- Configuration ---
 
     def configure(self, document: ServiceDocument) -> None:
         """Take a newer document; what is known of endpoints that remain is kept."""
+        self._document = document
         self._policy = POLICY_BY_NAME[document.routing]
         self._hedged_names = {c.name for c in document.classes if c.hedge and c.idempotent}
-        self._document = document
-        self._choose_subset()
+        self._take_subset()
 
     def exclude(self, vms: frozenset[str]) -> None:
-        """Send nothing to endpoints on `vms`, which are leaving or dead."""
-        if vms != self._unavailable_vms:
-            self._unavailable_vms = vms
-            self._choose_subset()
+        """Take the VMs that are leaving or dead; their endpoints get no new attempts."""
+        changed = self._excluded_vms ^ vms
+        self._excluded_vms = vms
+        if any(endpoint.vm in changed for endpoint in self._document.endpoints):
+            self._take_subset()
 
-    def _choose_subset(self) -> None:
+    def _take_subset(self) -> None:
         document = self._document
         out = document.out_of_service
-        out_vms = self._unavailable_vms.union(out.vms)
+        excluded = self._excluded_vms.union(out.vms)
         in_service = [
             endpoint
             for endpoint in document.endpoints
-            if endpoint.failure_domain not in out.failure_domains and endpoint.vm not in out_vms
+            if endpoint.failure_domain not in out.failure_domains and endpoint.vm not in excluded
         ]
         subset = subset_of(
             in_service, document.subset_size, self._place.ring_place, self._place.failure_domain
@@ -207,16 +208,17 @@
 
     # --- What is estimated ---
 
-    def watch_after_s(self, name: str, class_name: str) -> float:
-        """Return the age in seconds from which an open attempt at an endpoint is watched."""
+    def doubtful_after_s(self, name: str, class_name: str, doubt: float, now: float) -> float:
+        """Return the age in seconds from which one open attempt alone raises so much doubt."""
         load = self._load_by_name[name]
         latencies = self._latencies(class_name)
         typical_s = latencies.quantile(0.5)
         if typical_s is None:
-            return FIRST_WATCH_S
+            return FIRST_LOOK_S
         if load.latency_s > SLOW_FACTOR * typical_s:
-            return TRIAL_WATCH * typical_s
-        return latencies.quantile(WATCH_QUANTILE)
+            return TRIAL_LOOK * typical_s
+        share = load.stall_prior(now + typical_s) * (1 - doubt) / doubt
+        return latencies.quantile(1 - min(1.0, share**EARLY_LOOK))
 
     def typical_s(self, class_name: str) -> float:
         """Return the median latency of a request class, in seconds."""
@@ -261,7 +263,7 @@
             return None
         match self._policy:
             case LeastTime():
-                return self._least_time(candidates, class_name, now)
+                return self._least_time(candidates, tried, class_name, now)
             case policy:
                 return Choice(self._compared(policy, candidates).endpoint, "policy")
 
@@ -278,10 +280,11 @@
         return min(group, key=lambda load: load.own_in_flight)
 
     def _least_time(
-        self, candidates: Sequence[EndpointLoad], class_name: str, now: float
+        self, candidates: Sequence[EndpointLoad], tried: set[str], class_name: str, now: float
     ) -> Choice:
         typical_s = self.typical_s(class_name)
-        patience = 1.0 if class_name in self._hedged_names else UNHEDGED_PATIENCE
+        may_try = class_name in self._hedged_names and not tried
+        patience = 1.0 if may_try else UNHEDGED_PATIENCE
         costs = [(self._cost_s(load, typical_s, patience, now), load) for load in candidates]
         least_s = min(cost_s for cost_s, _ in costs)
         close = [(cost_s, load) for cost_s, load in costs if cost_s <= least_s + CLOSE_S]
