--- a/src/pollenroad/services.py
+++ b/src/pollenroad/services.py
@@ -7,6 +7,7 @@
 from pollenroad.messages import LoadReport
 from pollenroad.models import ServiceDocument
 from pollenroad.retries import (
+    FULL_REASON,
     SERVER_REASONS,
     TEACHING_REASONS,
     Budget,
@@ -59,7 +60,7 @@
             return False
         if reason in TEACHING_REASONS:
             return True
-        if reason == "overloaded" and self.router.spare_share(now) <= 0:
+        if reason == FULL_REASON and self.router.spare_share(now) <= 0:
             return False
         may_rerun = verdict is Verdict.UNKNOWN or reason in SERVER_REASONS
         if may_rerun and (call.allowance <= 0 or not self._rerun_budget.spend(now)):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -82,6 +82,14 @@
         self.assertNotIn("booking-0", self.choices(router, 2.01))
         self.assertIn("booking-0", self.choices(router, 60.0))
 
+    def test_a_server_that_sheds_at_once_is_not_taken_for_an_idle_one(self):
+        router = self.make()
+        self.run_calls(router, 100)
+        for number in range(5):
+            router.sent("booking-0", f"f{number}", CLASS, 2.0)
+            router.ended("booking-0", f"f{number}", Verdict.NOT_RUN, "shed", 2.0)
+        self.assertNotIn("booking-0", self.choices(router, 2.01))
+
     def test_an_endpoint_that_turns_cold_is_used_within_its_bound(self):
         router = self.make()
         self.run_calls(router, 100)
@@ -109,6 +117,6 @@
     def test_what_is_known_survives_a_newer_document(self):
         router = self.make()
         for number in range(5):
-            router.ended("booking-0", f"f{number}", Verdict.UNKNOWN, 1.0)
+            router.ended("booking-0", f"f{number}", Verdict.UNKNOWN, "reset", 1.0)
         router.configure(make_document(version=2))
         self.assertNotIn("booking-0", self.choices(router, 1.01))
