--- a/src/pollenroad/commands/bench.py
+++ b/src/pollenroad/commands/bench.py
@@ -37,7 +37,7 @@
         print(f"no bench {name!r}; there are: {', '.join(BENCHES)}", file=sys.stderr)
         return 1
     module = importlib.import_module(f"pollenroad.bench.{name.replace('-', '_')}")
-    result = module.run(seed=seed)
+    result = {"bench": name, **module.run(seed=seed)}
     line = json_module.dumps(result)
     if out:
         Path(out).write_text(line + "\n")
