Refuse documents that would break a daemon: huge versions, deep nesting

Cause: found by offering odd bytes: 200,000 open brackets raised RecursionError out of the core, and a version of 31 digits came into force although no frame can carry it. Change: both are refused with a reason; ages in messages cannot be negative.

--- a/src/pollenroad/configuration.py
+++ b/src/pollenroad/configuration.py
@@ -20,6 +20,9 @@
 MAX_DOCUMENT_BYTES = 1_048_576
 """Largest document that is accepted, in bytes."""
 
+MAX_VERSION = 2**53 - 1
+"""Largest version that is accepted: the largest integer that every JSON reader keeps exactly."""
+
 MAX_DOCUMENTS = 4_096
 """Keys held at the most."""
 
@@ -86,11 +89,15 @@
         raise ConfigurationError(key, "$", f"larger than {MAX_DOCUMENT_BYTES} bytes")
     try:
         document = msgspec.json.decode(data, type=Document)
+    except RecursionError as error:
+        raise ConfigurationError(key, "$", "nested too deeply") from error
     except (msgspec.DecodeError, ValueError) as error:
         reason, _, path = str(error).partition(" - at ")
         raise ConfigurationError(key, path.strip("`") or "$", reason) from error
     if document.key != key:
         raise ConfigurationError(key, "$", f"offered as {key}, but names itself {document.key}")
+    if document.version > MAX_VERSION:
+        raise ConfigurationError(key, "$.version", f"larger than {MAX_VERSION}")
     for problem in check_document(document):
         raise ConfigurationError(key, problem.path, problem.reason, problem.hint)
     return document
@@ -210,7 +217,7 @@
         return 0
     try:
         return msgspec.json.decode(data, type=_Header).version
-    except (msgspec.DecodeError, ValueError):
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return 0
 
 
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -235,7 +235,7 @@
     """Fingerprint of the keys and versions in force."""
     statuses: int = 0
     """Fingerprint of what is known of VMs."""
-    platform_age_s: float = 1e9
+    platform_age_s: Annotated[float, Meta(ge=0)] = 1e9
     """Seconds since any daemon, as far as the sender knows, read the platform."""
     joining: bool = False
     """Whether the sender still collects documents and takes no work."""
@@ -286,7 +286,7 @@
     """Answer of a monitor to `Suspect`."""
 
     vm: ShortText
-    heard_ago_s: float
+    heard_ago_s: Annotated[float, Meta(ge=0)]
     """Time since the sender last heard the VM, in seconds."""
     suspects: bool
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -74,6 +74,9 @@
             "limits repeated": workspace(2).replace(
                 b'"customers":[', b'"customers":[' + LIMIT + b","
             ),
+            "nested": b'{"version":2,"x":' + b"[" * 200_000,
+            "huge version": workspace(2).replace(b'"version":2', b'"version":2' + b"0" * 30),
+            "not text": b"\xff\xfe",
             "too large": workspace(2) + b" " * 1_048_576,
         }
         for name, data in broken.items():
