--- a/src/pollenroad/services.py
+++ b/src/pollenroad/services.py
@@ -59,6 +59,8 @@
             return False
         if reason in TEACHING_REASONS:
             return True
+        if reason == "overloaded" and self.router.spare_share(now) <= 0:
+            return False
         may_rerun = verdict is Verdict.UNKNOWN or reason in SERVER_REASONS
         if may_rerun and (call.allowance <= 0 or not self._rerun_budget.spend(now)):
             return False
