Fuzz the cores against an oracle of the nine promises

Cause: nothing drove entries, guards, limit owners and relays together under lost, late, doubled and reordered messages, pauses, restarts, crashes and conflicting documents. Ruled out: a simulation with queues and bandwidths (proves a model, not decisions); one machine for all (relays cost most of the time, so entries and guards get a machine of their own, in which documents reach each daemon at its own time).

--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -4,7 +4,6 @@
 carried out at once, and none of them blocks.
 """
 
-import random
 import secrets
 import time
 from collections import deque
@@ -17,14 +16,9 @@
     AnswerCall,
     CancelAtServer,
     DocumentInForce,
-    DocumentRead,
-    DocumentsListed,
     Event,
     ListDocuments,
     ListVms,
-    MembershipChanged,
-    PeerReceived,
-    PlatformFailed,
     PlatformRequest,
     ProbeServer,
     ReadDocument,
@@ -34,24 +28,19 @@
     SendPeer,
     StopRequested,
     Tick,
-    VmsListed,
     WatchPlatform,
-    WatchReturned,
 )
-from pollenroad.entry import make_entry
+from pollenroad.cores import make_cores
 from pollenroad.explain import sentences
-from pollenroad.guard import make_guard
 from pollenroad.headroom import capacity_warnings
 from pollenroad.http import Calls, make_call_app, make_call_server
-from pollenroad.limit_owner import make_limit_owner
 from pollenroad.logs import LOGGER, log
-from pollenroad.messages import AttemptAnswer, Leaving, RelayMessage
 from pollenroad.models import Document
 from pollenroad.operator_http import make_operator_server
 from pollenroad.peers import Identity, Peers
 from pollenroad.platform import Platform
 from pollenroad.recent import RecentRecords
-from pollenroad.relay import RelaySettings, make_relay
+from pollenroad.relay import RelaySettings
 from pollenroad.settings import Settings
 from pollenroad.upstream import Upstream
 
@@ -74,12 +63,13 @@
         self._draining_inbox = False
         self._timer_wake = Flag()
         self._timer_due = float("inf")
-        rng = random.Random(self.incarnation)
-        self.entry = make_entry(self.incarnation, settings.failure_domain, rng, settings.vm)
-        self.guard = make_guard(settings.service, settings.vm)
-        self.limit_owner = make_limit_owner(settings.peer_address, time.monotonic())
-        self.relay = make_relay(self._relay_settings(), _explain, rng)
-        self._cores = (self.entry, self.guard, self.limit_owner, self.relay)
+        self._cores = make_cores(
+            self._relay_settings(), settings.service, self.incarnation, _explain, time.monotonic()
+        )
+        self.entry = self._cores.entry
+        self.guard = self._cores.guard
+        self.limit_owner = self._cores.limit_owner
+        self.relay = self._cores.relay
         self.calls = Calls(self.post)
         self.upstream = Upstream(settings.server, self.post)
         self.peers = Peers(self._identity(), self.post, self.relay.is_member)
@@ -131,29 +121,8 @@
         self._schedule_tick()
 
     def _handle(self, event: Event) -> None:
-        now = time.monotonic()
-        for core in self._cores_for(event):
-            for action in core.handle(event, now):
-                self._perform(action)
-
-    def _cores_for(self, event: Event) -> tuple:
-        """Return the cores that an event concerns; calls do not pass through the relay."""
-        match event:
-            case Tick() | StopRequested() | PeerReceived(_, Leaving()):
-                return self._cores
-            case PeerReceived(_, AttemptAnswer(reason="leaving")):
-                return (self.entry, self.guard, self.relay)
-            case PeerReceived(_, message) if isinstance(message, RelayMessage):
-                return (self.relay,)
-            case (
-                DocumentRead()
-                | DocumentsListed()
-                | WatchReturned()
-                | VmsListed()
-                | PlatformFailed()
-            ):
-                return (self.relay,)
-        return (self.entry, self.guard, self.limit_owner)
+        for action in self._cores.handle(event, time.monotonic()):
+            self._perform(action)
 
     def _perform(self, action: Action) -> None:
         match action:
@@ -170,9 +139,6 @@
             case DocumentInForce(document):
                 self.document_by_key[document.key] = document
                 log("document_in_force", key=document.key, version=document.version)
-                self.post(action)
-            case MembershipChanged():
-                self.post(action)
             case RelayReady(documents, alone):
                 log("daemon_ready", documents=documents, alone=alone)
             case ReadDocument() | ListDocuments() | ListVms() | WatchPlatform():
@@ -187,8 +153,8 @@
             self._timer_wake.set()
 
     def _next_due(self) -> float:
-        dues = (core.next_due() for core in self._cores)
-        return min((due for due in dues if due is not None), default=float("inf"))
+        due = self._cores.next_due()
+        return float("inf") if due is None else due
 
     def _run_timer(self) -> None:
         while True:
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the cores against an oracle."""
--- /dev/null
+++ b/tests/fuzz/mutants.py
@@ -0,0 +1,120 @@
+"""Mutants: for each promise, a small patched function that breaks it.
+
+Fuzzing that does not find one of them proves nothing about that promise.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from unittest.mock import patch
+
+from pollenroad.boundary import CancelAtServer, StopRequested
+from pollenroad.coldstart import ColdStart
+from pollenroad.configuration import Configuration
+from pollenroad.entry import Entry
+from pollenroad.guard import Guard
+from pollenroad.handover import SeenAttempts
+from pollenroad.measuring import SlidingLimit
+from pollenroad.spreading import Spreading
+from pollenroad.verdicts import Verdict
+
+from .oracle import COLD, CONFIG, LEAVING, MEASURING, ONCE, OUT, OWN, REFUSED, STOP
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """One patched function, and the promise that it breaks."""
+
+    name: str
+    invariant: str
+    machine: str
+    owner: object
+    attribute: str
+    replacement: Callable
+
+    @contextmanager
+    def applied(self) -> Iterator[None]:
+        with patch.object(self.owner, self.attribute, self.replacement):
+            yield
+
+
+def _spend_without_limit(self, rate_per_s, cost, now):
+    return rate_per_s > 0
+
+
+def _cold_server_bears_all(self, now):
+    return self._slots
+
+
+def _forget_out_of_service(self):
+    if self._stopping or self._vm_leaving:
+        return "leaving"
+    return "not-here" if self._endpoint is None else ""
+
+
+def _forget_leaving(self):
+    if self._document is None or self._endpoint is None:
+        return "not-here"
+    out = self._document.out_of_service
+    is_out = self._endpoint.failure_domain in out.failure_domains or self._vm in out.vms
+    return "out-of-service" if is_out else ""
+
+
+_on_answer = Entry._on_answer
+
+
+def _take_any_answer(self, answer, now):
+    if answer.attempt_id not in self._attempt_by_id and self._attempt_by_id:
+        attempt_id = next(iter(self._attempt_by_id))
+        answer = type(answer)(attempt_id, answer.verdict, answer.reason, answer.response)
+    yield from _on_answer(self, answer, now)
+
+
+_finish = Entry._finish
+
+
+def _tell_not_run(self, open_call, verdict, reason, now, *more, **named):
+    verdict = Verdict.NOT_RUN if verdict is Verdict.UNKNOWN else verdict
+    open_call.maybe_ran = False
+    yield from _finish(self, open_call, verdict, reason, now, *more, **named)
+
+
+def _retry_anything(self, open_call, verdict, reason, now):
+    return open_call.attempts < open_call.request_class.max_attempts and now < open_call.deadline
+
+
+def _never_seen(self, attempt_id):
+    return False
+
+
+_handle = Guard.handle
+
+
+def _cancel_at_stop(self, event, now):
+    actions = _handle(self, event, now)
+    if isinstance(event, StopRequested):
+        actions += [CancelAtServer(attempt_id) for attempt_id in self._at_server._running_by_id]
+    return actions
+
+
+def _take_older(self, key, data, held):
+    return None
+
+
+def _announce_nothing(self, peer, announce, wall_s):
+    return []
+
+
+MUTANTS = (
+    Mutant("spend without limit", MEASURING, "calls", SlidingLimit, "allows", _spend_without_limit),
+    Mutant("no cold bound", COLD, "calls", ColdStart, "bound", _cold_server_bears_all),
+    Mutant("guard ignores domains", OUT, "calls", Guard, "_closed", _forget_out_of_service),
+    Mutant("entry takes any answer", OWN, "calls", Entry, "_on_answer", _take_any_answer),
+    Mutant("unknown told as not run", REFUSED, "calls", Entry, "_finish", _tell_not_run),
+    Mutant("retry anything", ONCE, "calls", Entry, "_may_try_again", _retry_anything),
+    Mutant("forget seen attempts", ONCE, "calls", SeenAttempts, "__contains__", _never_seen),
+    Mutant("guard ignores leaving", LEAVING, "calls", Guard, "_closed", _forget_leaving),
+    Mutant("cancel at stop", STOP, "calls", Guard, "handle", _cancel_at_stop),
+    Mutant("take older documents", CONFIG, "fleet", Configuration, "_refusal", _take_older),
+    Mutant("fetch nothing", CONFIG, "fleet", Spreading, "on_announce", _announce_nothing),
+)
