--- /dev/null
+++ b/src/pollenroad/client.py
@@ -0,0 +1,241 @@
+"""The library for Python callers: `Client`, and the `Reply` that it returns.
+
+A client chooses among several entries, states the deadline, and never makes a second run of a
+request that is not idempotent possible.
+"""
+
+import random
+import secrets
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from pollenroad import headers
+from pollenroad.addresses import split_address
+from pollenroad.exceptions import CallError
+from pollenroad.verdicts import Verdict, may_retry
+
+DEFAULT_DEADLINE_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+AVOID_S = 2.0
+"""Time for which an entry that failed is tried last, in seconds."""
+ANSWER_SLACK_S = 0.25
+"""Time beyond the deadline for the entry's own verdict to arrive, in seconds."""
+RETRIED_REASONS = frozenset({"leaving", "starting", "no-entry"})
+"""Refusals by an entry that another entry need not share."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What came of a call."""
+
+    verdict: Verdict
+    status: int = 0
+    """HTTP status; 0 if no entry answered."""
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    reason: str = ""
+    """Reason code where the verdict is not `ran`; see docs/INTERFACES.md."""
+    request_id: str = ""
+    endpoint: str = ""
+    attempts: int = 0
+    retry_after_s: float = 0.0
+
+    @property
+    def ok(self) -> bool:
+        """Whether the request ran and the server's status is below 400."""
+        return self.verdict is Verdict.RAN and self.status < 400
+
+    def raise_for_verdict(self) -> "Reply":
+        """Return this reply if the request ran.
+
+        Raises:
+            CallError: If it did not, or may not have.
+        """
+        if self.verdict is not Verdict.RAN:
+            raise CallError(self.verdict, self.reason)
+        return self
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedCall:
+    """A call as it goes to an entry."""
+
+    method: str
+    target: str
+    fields: Mapping[str, str]
+    body: bytes
+    idempotent: bool
+    request_id: str
+
+
+def reply_from(
+    answer: urllib3.BaseHTTPResponse, request_id: str, default: Verdict | None = None
+) -> Reply:
+    """Read an entry's answer.
+
+    Args:
+        answer: The whole HTTP answer.
+        request_id: Id of the request, where the answer names none.
+        default: Verdict where the answer states none; by default not run, since an entry states it
+            for every call that it took.
+    """
+    fields = answer.headers
+    stated = fields.get(headers.VERDICT)
+    return Reply(
+        verdict=Verdict(stated) if stated else default or Verdict.NOT_RUN,
+        status=answer.status,
+        headers=fields,
+        body=answer.data,
+        reason=fields.get(headers.REASON, ""),
+        request_id=fields.get(headers.REQUEST_ID, request_id),
+        endpoint=fields.get(headers.ENDPOINT, ""),
+        attempts=int(fields.get(headers.ATTEMPTS, 0)),
+        retry_after_s=float(fields.get(headers.RETRY_AFTER_MS, 0)) / 1000,
+    )
+
+
+class Client:
+    """Calls services through one of several entries.
+
+    Args:
+        entries: Call addresses of daemons, `HOST:PORT`.
+        customer: Customer on whose behalf the calls are made.
+        deadline_s: Time for a call where it states none, in seconds.
+        max_tries: Entries that one call may be handed to.
+    """
+
+    def __init__(
+        self,
+        entries: list[str] | tuple[str, ...],
+        customer: str = "anonymous",
+        deadline_s: float = DEFAULT_DEADLINE_S,
+        max_tries: int = 3,
+    ):
+        if not entries:
+            raise ValueError("a client needs at least one entry")
+        self._customer = customer
+        self._deadline_s = deadline_s
+        self._max_tries = max_tries
+        self._pool_by_entry = {
+            entry: urllib3.HTTPConnectionPool(*split_address(entry), maxsize=64)
+            for entry in entries
+        }
+        self._avoid_until_by_entry: dict[str, float] = {}
+        self._rng = random.Random()
+
+    # --- Calls ---
+
+    def get(self, service: str, path: str, **options) -> Reply:
+        """Call a service with GET; see `request`."""
+        return self.request("GET", service, path, **options)
+
+    def post(self, service: str, path: str, body: bytes = b"", **options) -> Reply:
+        """Call a service with POST; see `request`."""
+        return self.request("POST", service, path, body=body, **options)
+
+    def request(
+        self,
+        method: str,
+        service: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        request_class: str = "",
+        idempotent: bool = False,
+        deadline_s: float | None = None,
+        request_id: str = "",
+        fields: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Make one call.
+
+        Args:
+            method: HTTP method.
+            service: Key of the service, `WORKSPACE/SERVICE`.
+            path: Path at the server, with its query.
+            body: Body of the request.
+            request_class: Request class; empty for the service's default.
+            idempotent: Whether this client may hand the call to a second entry when it may have
+                run. The class of the service decides for the entries.
+            deadline_s: Time for the whole call, in seconds.
+            request_id: Id that all attempts share; empty for a new one.
+            fields: Further headers.
+
+        Returns:
+            The whole answer with its verdict; never raises for a refused or lost call.
+        """
+        seconds = self._deadline_s if deadline_s is None else deadline_s
+        call_id = request_id or secrets.token_hex(8)
+        prepared = PreparedCall(
+            method=method,
+            target=f"/{service}/{path.lstrip('/')}",
+            fields={
+                **(fields or {}),
+                headers.CUSTOMER: self._customer,
+                headers.REQUEST_CLASS: request_class,
+                headers.REQUEST_ID: call_id,
+            },
+            body=body,
+            idempotent=idempotent,
+            request_id=call_id,
+        )
+        return self._try_entries(prepared, time.monotonic() + seconds)
+
+    # --- Choice among entries ---
+
+    def _order(self) -> list[str]:
+        now = time.monotonic()
+        entries = list(self._pool_by_entry)
+        self._rng.shuffle(entries)
+        return sorted(entries, key=lambda e: self._avoid_until_by_entry.get(e, 0.0) > now)
+
+    def _try_entries(self, prepared: PreparedCall, deadline: float) -> Reply:
+        reply = Reply(Verdict.NOT_RUN, reason="no-entry", request_id=prepared.request_id)
+        maybe_ran = False
+        for entry in self._order()[: self._max_tries]:
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0:
+                break
+            reply = self._send(entry, prepared, remaining_s)
+            maybe_ran = maybe_ran or reply.verdict is Verdict.UNKNOWN
+            if not self._may_try_next(reply, prepared):
+                break
+        if maybe_ran and reply.verdict is Verdict.NOT_RUN:
+            return Reply(Verdict.UNKNOWN, reply.status, reply.headers, reply.body, reply.reason)
+        return reply
+
+    def _may_try_next(self, reply: Reply, prepared: PreparedCall) -> bool:
+        if not may_retry(reply.verdict, prepared.idempotent):
+            return False
+        return reply.status == 0 or reply.reason in RETRIED_REASONS
+
+    def _send(self, entry: str, prepared: PreparedCall, remaining_s: float) -> Reply:
+        fields = {**prepared.fields, headers.DEADLINE_MS: f"{remaining_s * 1000:.0f}"}
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_TIMEOUT_S, remaining_s), read=remaining_s + ANSWER_SLACK_S
+        )
+        try:
+            answer = self._pool_by_entry[entry].urlopen(
+                prepared.method,
+                prepared.target,
+                body=prepared.body or None,
+                headers=fields,
+                timeout=timeout,
+                retries=False,
+                redirect=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError):
+            return self._failed(entry, prepared, Verdict.NOT_RUN, "no-entry")
+        except (HTTPError, OSError):
+            return self._failed(entry, prepared, Verdict.UNKNOWN, "entry-lost")
+        reply = reply_from(answer, prepared.request_id)
+        if reply.reason in RETRIED_REASONS:
+            self._avoid_until_by_entry[entry] = time.monotonic() + AVOID_S
+        return reply
+
+    def _failed(self, entry: str, prepared: PreparedCall, verdict: Verdict, reason: str) -> Reply:
+        self._avoid_until_by_entry[entry] = time.monotonic() + AVOID_S
+        return Reply(verdict, reason=reason, request_id=prepared.request_id)
--- a/src/pollenroad/cores.py
+++ b/src/pollenroad/cores.py
@@ -1,7 +1,7 @@
-"""The cores of one daemon together: which event concerns which core, and what feeds back.
+"""The cores of one daemon, and which events concern which.
 
-The daemon, trace replay and the fuzzing drive the cores through this one place. No I/O: see
-`pollenroad.boundary`.
+No I/O: see `pollenroad.boundary`. The daemon drives one `Cores`; an outside harness may drive many
+in one process with its own clock and network.
 """
 
 import random
@@ -10,89 +10,153 @@
 
 from pollenroad.boundary import (
     Action,
+    AttemptUnsent,
+    CallAbandoned,
+    CallArrived,
     DocumentInForce,
     DocumentRead,
     DocumentsListed,
     Event,
     MembershipChanged,
+    PeerLost,
     PeerReceived,
     PlatformFailed,
+    ServerAnswered,
+    ServerFailed,
+    ServerProbed,
+    ServerShed,
     StopRequested,
     Tick,
     VmsListed,
     WatchReturned,
 )
 from pollenroad.entry import make_entry
+from pollenroad.explain import sentences
 from pollenroad.guard import make_guard
+from pollenroad.headroom import capacity_warnings
 from pollenroad.limit_owner import make_limit_owner
-from pollenroad.messages import AttemptAnswer, Leaving, RelayMessage
+from pollenroad.messages import (
+    Attempt,
+    AttemptAnswer,
+    CancelAttempt,
+    Leaving,
+    LimitGrant,
+    LimitRequest,
+    LimitReturn,
+    LoadReport,
+)
+from pollenroad.models import Document
 from pollenroad.relay import RelaySettings, make_relay
-from pollenroad.spreading import Explain
 
 
 class Cores:
     """Entry, guard, limit owner and relay of one daemon."""
 
     def __init__(
-        self, settings: RelaySettings, service: str, incarnation: str, explain: Explain, now: float
+        self,
+        incarnation: str,
+        service: str,
+        relay_settings: RelaySettings,
+        rng: random.Random,
+        now: float,
     ):
-        rng = random.Random(incarnation)
-        self.entry = make_entry(incarnation, settings.failure_domain, rng, settings.vm)
-        self.guard = make_guard(service, settings.vm)
-        self.limit_owner = make_limit_owner(settings.address, now)
-        self.relay = make_relay(settings, explain, rng)
+        vm = relay_settings.vm
+        self.entry = make_entry(incarnation, relay_settings.failure_domain, rng, vm)
+        self.guard = make_guard(service, vm)
+        self.limit_owner = make_limit_owner(relay_settings.address, now)
+        self.relay = make_relay(relay_settings, _explain, rng)
         self._all = (self.entry, self.guard, self.limit_owner, self.relay)
+        self._workers = (self.entry, self.guard, self.limit_owner)
+        self._cores_by_event = self._by_event()
+        self._cores_by_message = self._by_message()
+
+    def _by_event(self) -> dict[type, tuple]:
+        return {
+            CallArrived: (self.entry,),
+            CallAbandoned: (self.entry,),
+            AttemptUnsent: (self.entry,),
+            PeerLost: (self.entry,),
+            ServerAnswered: (self.guard,),
+            ServerFailed: (self.guard,),
+            ServerShed: (self.guard,),
+            ServerProbed: (self.guard,),
+            DocumentInForce: self._workers,
+            MembershipChanged: self._workers,
+            DocumentRead: (self.relay,),
+            DocumentsListed: (self.relay,),
+            WatchReturned: (self.relay,),
+            VmsListed: (self.relay,),
+            PlatformFailed: (self.relay,),
+            StopRequested: (self.guard, self.relay),
+        }
+
+    def _by_message(self) -> dict[type, tuple]:
+        return {
+            Attempt: (self.guard,),
+            CancelAttempt: (self.guard,),
+            AttemptAnswer: (self.entry,),
+            LoadReport: (self.entry,),
+            LimitGrant: (self.entry,),
+            LimitRequest: (self.limit_owner,),
+            LimitReturn: (self.limit_owner,),
+            Leaving: (self.relay,),
+        }
 
     def next_due(self) -> float | None:
         """Return when `Tick` is next needed, in monotonic seconds."""
-        dues = (core.next_due() for core in self._all)
-        return min((due for due in dues if due is not None), default=None)
+        dues = [due for core in self._all if (due := core.next_due()) is not None]
+        return min(dues, default=None)
 
     def handle(self, event: Event, now: float) -> Iterator[Action]:
-        """Hand one event to the cores that it concerns, and yield what is to be done.
+        """Take one event and yield what is to be done.
 
-        A document or a view of VMs that the relay puts into force is handed to the other cores
-        as an event, after the cores have handled this one.
+        What the relay tells the other cores is passed on here and yielded as well.
         """
         events = deque([event])
         while events:
             current = events.popleft()
-            for core in self._concerned(current):
+            for core in self._concerned(current, now):
                 for action in core.handle(current, now):
                     if isinstance(action, DocumentInForce | MembershipChanged):
                         events.append(action)
                     yield action
 
-    def _concerned(self, event: Event) -> tuple:
-        """Return the cores that an event concerns; calls do not pass through the relay."""
+    def _concerned(self, event: Event, now: float) -> tuple:
         match event:
-            case Tick() | StopRequested() | PeerReceived(_, Leaving()):
-                return self._all
+            case Tick():
+                return tuple(core for core in self._all if _is_due(core, now))
             case PeerReceived(_, AttemptAnswer(reason="leaving")):
-                return (self.entry, self.guard, self.relay)
-            case PeerReceived(_, message) if isinstance(message, RelayMessage):
-                return (self.relay,)
-            case (
-                DocumentRead()
-                | DocumentsListed()
-                | WatchReturned()
-                | VmsListed()
-                | PlatformFailed()
-            ):
-                return (self.relay,)
-        return (self.entry, self.guard, self.limit_owner)
+                return (self.entry, self.relay)
+            case PeerReceived(_, message):
+                return self._cores_by_message.get(type(message), (self.relay,))
+            case _:
+                return self._cores_by_event[type(event)]
+
+
+def _is_due(core, now: float) -> bool:
+    due = core.next_due()
+    return due is not None and due <= now
+
+
+def _explain(previous: Document | None, document: Document) -> list[str]:
+    warnings = capacity_warnings(previous, document)
+    return [*sentences(previous, document), *(str(warning) for warning in warnings)]
 
 
 def make_cores(
-    settings: RelaySettings, service: str, incarnation: str, explain: Explain, now: float
+    incarnation: str,
+    service: str,
+    relay_settings: RelaySettings,
+    rng: random.Random,
+    now: float,
 ) -> Cores:
     """Make the cores of one daemon.
 
     Args:
-        settings: Who the daemon is.
-        service: Service of the server beside it, `WORKSPACE/SERVICE`.
-        incarnation: Prefix of attempt ids, unique over daemons and restarts; seeds its choices.
-        explain: Returns the plain sentences of a change, for the audit trail.
+        incarnation: Prefix of attempt ids, unique over daemons and restarts.
+        service: Key of the service of the server beside the daemon.
+        relay_settings: Addresses and places of the daemon.
+        rng: Source of randomness.
         now: Monotonic time in seconds.
     """
-    return Cores(settings, service, incarnation, explain, now)
+    return Cores(incarnation, service, relay_settings, rng, now)
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -4,6 +4,7 @@
 carried out at once, and none of them blocks.
 """
 
+import random
 import secrets
 import time
 from collections import deque
@@ -31,8 +32,6 @@
     WatchPlatform,
 )
 from pollenroad.cores import make_cores
-from pollenroad.explain import sentences
-from pollenroad.headroom import capacity_warnings
 from pollenroad.http import Calls, make_call_app, make_call_server
 from pollenroad.logs import LOGGER, log
 from pollenroad.models import Document
@@ -45,8 +44,9 @@
 from pollenroad.upstream import Upstream
 
 POLL_WHILE_DRAINING_S = 0.02
-LEAVING_NOTICE_S = 0.2
-"""Time between the last answer and the closing of links, so that it leaves the process."""
+LEAVING_NOTICE_S = 1.0
+"""Time between the last answer and the closing of sockets, in which callers with open connections
+learn that this entry leaves."""
 
 
 class Daemon:
@@ -63,16 +63,13 @@
         self._draining_inbox = False
         self._timer_wake = Flag()
         self._timer_due = float("inf")
-        self._cores = make_cores(
-            self._relay_settings(), settings.service, self.incarnation, _explain, time.monotonic()
+        rng = random.Random(self.incarnation)
+        self.cores = make_cores(
+            self.incarnation, settings.service, self._relay_settings(), rng, time.monotonic()
         )
-        self.entry = self._cores.entry
-        self.guard = self._cores.guard
-        self.limit_owner = self._cores.limit_owner
-        self.relay = self._cores.relay
-        self.calls = Calls(self.post)
+        self.calls = Calls(self.post, self._refusal)
         self.upstream = Upstream(settings.server, self.post)
-        self.peers = Peers(self._identity(), self.post, self.relay.is_member)
+        self.peers = Peers(self._identity(), self.post, self.cores.relay.is_member)
         self.platform = Platform(settings.platform)
         app = make_call_app(self.calls)
         self._call_server = make_call_server(settings.call_address, app, settings.max_connections)
@@ -103,7 +100,13 @@
     @property
     def ready(self) -> bool:
         """Whether this daemon holds configuration and takes work."""
-        return self.relay.ready and not self.stopping
+        return self.cores.relay.ready and not self.stopping
+
+    def _refusal(self) -> str:
+        """Return why a new call is refused before it is looked at, or an empty string."""
+        if self.stopping:
+            return "leaving"
+        return "" if self.cores.relay.ready else "starting"
 
     # --- Events and actions ---
 
@@ -121,7 +124,7 @@
         self._schedule_tick()
 
     def _handle(self, event: Event) -> None:
-        for action in self._cores.handle(event, time.monotonic()):
+        for action in self.cores.handle(event, time.monotonic()):
             self._perform(action)
 
     def _perform(self, action: Action) -> None:
@@ -153,7 +156,7 @@
             self._timer_wake.set()
 
     def _next_due(self) -> float:
-        due = self._cores.next_due()
+        due = self.cores.next_due()
         return float("inf") if due is None else due
 
     def _run_timer(self) -> None:
@@ -190,15 +193,15 @@
             gevent.spawn(self._drain)
 
     def _drain(self) -> None:
-        log("daemon_stopping", in_flight=self.guard.in_flight, calls=len(self.calls))
+        log("daemon_stopping", in_flight=self.cores.guard.in_flight, calls=len(self.calls))
         self.post(StopRequested())
         document = self.document_by_key.get(self.settings.service)
         limit_s = document.drain_s if document else self.settings.stop_grace_s
         deadline = time.monotonic() + limit_s
-        while time.monotonic() < deadline and (self.guard.in_flight or len(self.calls)):
+        while time.monotonic() < deadline and (self.cores.guard.in_flight or len(self.calls)):
             gevent.sleep(POLL_WHILE_DRAINING_S)
-        if self.guard.in_flight or len(self.calls):
-            log("drain_timeout", in_flight=self.guard.in_flight, calls=len(self.calls))
+        if self.cores.guard.in_flight or len(self.calls):
+            log("drain_timeout", in_flight=self.cores.guard.in_flight, calls=len(self.calls))
         gevent.sleep(LEAVING_NOTICE_S)
         self._call_server.stop(timeout=1)
         self.peers.stop()
@@ -211,11 +214,6 @@
         self._ended.wait()
 
 
-def _explain(previous: Document | None, document: Document) -> list[str]:
-    warnings = capacity_warnings(previous, document)
-    return [*sentences(previous, document), *(str(warning) for warning in warnings)]
-
-
 def _log_task_failure(context, kind, value, traceback) -> None:
     if not issubclass(kind, gevent.get_hub().NOT_ERROR):
         LOGGER.error("internal_error", exc_info=(kind, value, traceback))
--- a/tests/fuzz/mutants.py
+++ b/tests/fuzz/mutants.py
@@ -9,12 +9,15 @@
 from unittest.mock import patch
 
 from pollenroad.boundary import CancelAtServer, StopRequested
+from pollenroad.closing import LEAVING as LEAVING_VM
+from pollenroad.closing import OUT_OF_SERVICE, Closing
 from pollenroad.coldstart import ColdStart
 from pollenroad.configuration import Configuration
 from pollenroad.entry import Entry
 from pollenroad.guard import Guard
 from pollenroad.handover import SeenAttempts
-from pollenroad.measuring import SlidingLimit
+from pollenroad.measuring import RateLimit
+from pollenroad.services import Service
 from pollenroad.spreading import Spreading
 from pollenroad.verdicts import Verdict
 
@@ -46,18 +49,19 @@
     return self._slots
 
 
+_reason = Closing.reason
+
+
+@property
 def _forget_out_of_service(self):
-    if self._stopping or self._vm_leaving:
-        return "leaving"
-    return "not-here" if self._endpoint is None else ""
+    reason = _reason.fget(self)
+    return "" if reason == OUT_OF_SERVICE else reason
 
 
+@property
 def _forget_leaving(self):
-    if self._document is None or self._endpoint is None:
-        return "not-here"
-    out = self._document.out_of_service
-    is_out = self._endpoint.failure_domain in out.failure_domains or self._vm in out.vms
-    return "out-of-service" if is_out else ""
+    reason = _reason.fget(self)
+    return "" if reason == LEAVING_VM else reason
 
 
 _on_answer = Entry._on_answer
@@ -79,8 +83,8 @@
     yield from _finish(self, open_call, verdict, reason, now, *more, **named)
 
 
-def _retry_anything(self, open_call, verdict, reason, now):
-    return open_call.attempts < open_call.request_class.max_attempts and now < open_call.deadline
+def _retry_anything(self, call, verdict, reason, now):
+    return call.attempts < call.request_class.max_attempts and now < call.deadline
 
 
 def _never_seen(self, attempt_id):
@@ -106,14 +110,14 @@
 
 
 MUTANTS = (
-    Mutant("spend without limit", MEASURING, "calls", SlidingLimit, "allows", _spend_without_limit),
+    Mutant("spend without limit", MEASURING, "calls", RateLimit, "allows", _spend_without_limit),
     Mutant("no cold bound", COLD, "calls", ColdStart, "bound", _cold_server_bears_all),
-    Mutant("guard ignores domains", OUT, "calls", Guard, "_closed", _forget_out_of_service),
+    Mutant("guard ignores domains", OUT, "calls", Closing, "reason", _forget_out_of_service),
     Mutant("entry takes any answer", OWN, "calls", Entry, "_on_answer", _take_any_answer),
     Mutant("unknown told as not run", REFUSED, "calls", Entry, "_finish", _tell_not_run),
-    Mutant("retry anything", ONCE, "calls", Entry, "_may_try_again", _retry_anything),
+    Mutant("retry anything", ONCE, "calls", Service, "try_again", _retry_anything),
     Mutant("forget seen attempts", ONCE, "calls", SeenAttempts, "__contains__", _never_seen),
-    Mutant("guard ignores leaving", LEAVING, "calls", Guard, "_closed", _forget_leaving),
+    Mutant("guard ignores leaving", LEAVING, "calls", Closing, "reason", _forget_leaving),
     Mutant("cancel at stop", STOP, "calls", Guard, "handle", _cancel_at_stop),
     Mutant("take older documents", CONFIG, "fleet", Configuration, "_refusal", _take_older),
     Mutant("fetch nothing", CONFIG, "fleet", Spreading, "on_announce", _announce_nothing),
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -133,7 +133,8 @@
         incarnation = 1_000_000 * (1 + int(self.now))
         domain = DOMAIN_BY_VM[vm] if self.platform else ELSEWHERE
         settings = RelaySettings(vm, ADDRESS_BY_VM[vm], domain, incarnation, others, len(VMS))
-        node.cores = make_cores(settings, SERVICE, f"{vm}-{node.starts}", _say, self._clock(node))
+        name = f"{vm}-{node.starts}"
+        node.cores = make_cores(name, SERVICE, settings, random.Random(name), self._clock(node))
         node.is_paused = node.is_stopping = node.is_configured = False
         node.seen_incarnation = ""
         self.oracle.told_by_vm.pop(vm, None)
@@ -435,7 +436,3 @@
         vm = self.entry_by_call.pop(call_id)
         self.oracle.caller_gone(call_id)
         self.post(vm, CallAbandoned(call_id))
-
-
-def _say(_previous, _document) -> list[str]:
-    return ["A change."]
