Replay traces against stated outcomes

Cause: nothing could show again what had happened at a daemon. Ruled out: one trace over many daemons (messages of peers are events of one daemon already); judging all outcomes at the end (a recording cannot know its end).

--- /dev/null
+++ b/src/pollenroad/commands/replay.py
@@ -0,0 +1,46 @@
+"""`pollenroad replay`: replay recorded traces against their stated outcomes."""
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from pollenroad.replaying import replay
+from pollenroad.traces import TraceError, read_trace
+from pollenroad.wording import count
+
+
+def _find_traces(path: Path) -> Iterator[Path]:
+    if path.is_dir():
+        yield from sorted(path.rglob("*.jsonl"))
+    else:
+        yield path
+
+
+def _replay_one(path: Path) -> bool:
+    try:
+        replayed = replay(*read_trace(path))
+    except TraceError as error:
+        print(f"BAD    {path}: {error}")
+        return False
+    what = f"{count(replayed.events, 'event')}, {count(replayed.outcomes, 'outcome')}"
+    if replayed.differences:
+        print(f"NOT MET {path}: {what}: {' | '.join(replayed.differences)}")
+        return False
+    print(f"met    {path}: {what}")
+    return True
+
+
+def run(*paths: str) -> int:
+    """Replay traces and print one line for each.
+
+    Args:
+        paths: Traces (JSON Lines, see docs/TRACES.md), or directories of `*.jsonl` files.
+
+    Returns:
+        0 if every stated outcome is met, 1 if one is not, or a trace is not well formed.
+    """
+    traces = [trace for path in paths for trace in _find_traces(Path(path))]
+    if not traces:
+        print("replay: no trace was named or found", file=sys.stderr)
+        return 1
+    return 0 if all([_replay_one(trace) for trace in traces]) else 1
--- /dev/null
+++ b/src/pollenroad/traces.py
@@ -0,0 +1,211 @@
+"""Traces: what happened at one daemon's cores, as JSON Lines, with the outcomes that are stated.
+
+The first line is the header; each further line is an event or an outcome. An outcome is judged
+where it stands, over all that happened before it. The format is described in docs/TRACES.md.
+"""
+
+import inspect
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from pollenroad import boundary
+from pollenroad.boundary import Event, PlatformFailed
+from pollenroad.exceptions import PollenroadError
+
+TRACE_VERSION = 1
+"""Version of the format."""
+
+_EVENT_BY_NAME = {kind.__name__: kind for kind in Event.__args__}
+_REQUEST_BY_NAME = {kind.__name__: kind for kind in boundary.PlatformRequest.__args__}
+
+
+class TraceError(PollenroadError):
+    """A trace is not well formed."""
+
+
+class Header(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """First line: whose cores, and how they were made."""
+
+    trace: Annotated[int, Meta(ge=1, le=TRACE_VERSION)]
+    """Version of the format."""
+    about: str = ""
+    """What the trace shows, in one sentence."""
+    vm: str
+    address: str
+    failure_domain: str
+    service: str
+    incarnation: str
+    """Prefix of attempt ids; also the seed of the cores' choices."""
+    relay_incarnation: int = 1
+    seeds: tuple[str, ...] = ()
+    fleet_hint: int = 11_000
+    wall_offset_s: float = 0.0
+    start: float
+    """Monotonic time at which the cores were made, in seconds."""
+    ticks: bool = False
+    """Whether the trace leaves out ticks: replay then adds each one when it is due."""
+
+
+class EventLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One event of `pollenroad.boundary`."""
+
+    at: float
+    """Monotonic time in seconds."""
+    event: str
+    """Name of its class."""
+    fields: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+class Outcome(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, tag_field="outcome"
+):
+    """Base of what may be stated."""
+
+
+class Answered(Outcome, tag="answered"):
+    """A call was answered exactly once, and so."""
+
+    call_id: str
+    verdict: Literal["ran", "not-run", "unknown"]
+    reason: str | None = None
+    """Reason code; None for any."""
+    body: str | None = None
+    """Whole body of the answer as text; None for any."""
+
+
+class Unanswered(Outcome, tag="unanswered"):
+    """A call has no answer yet."""
+
+    call_id: str
+
+
+class Runs(Outcome, tag="runs"):
+    """An attempt was handed to the server so often."""
+
+    attempt_id: str
+    count: int
+
+
+class Refused(Outcome, tag="refused"):
+    """The guard refused an attempt as not run."""
+
+    attempt_id: str
+    reason: str
+
+
+class Attempts(Outcome, tag="attempts"):
+    """The entry made so many attempts for a request, or sent so many to one peer."""
+
+    count: int
+    request_id: str = ""
+    peer: str = ""
+
+
+class Sent(Outcome, tag="sent"):
+    """So many messages of one type were sent, or at most so many."""
+
+    message: str
+    """Tag of the message, such as `leaving` or `load`."""
+    count: int
+    at_most: bool = False
+
+
+class Cancelled(Outcome, tag="cancelled"):
+    """An exchange with the server was stopped so often."""
+
+    attempt_id: str
+    count: int
+
+
+class InForce(Outcome, tag="in-force"):
+    """A version of a document is in force; 0 for none."""
+
+    key: str
+    version: int
+
+
+class InFlight(Outcome, tag="in-flight"):
+    """No more requests than that were at the server at one time."""
+
+    at_most: int
+
+
+StatedOutcome = (
+    Answered | Unanswered | Runs | Refused | Attempts | Sent | Cancelled | InForce | InFlight
+)
+
+_HEADER = msgspec.json.Decoder(Header)
+_EVENT = msgspec.json.Decoder(EventLine)
+_OUTCOME = msgspec.json.Decoder(StatedOutcome)
+
+
+def encode_event(event: Event, now: float) -> bytes:
+    """Return the line of one event, without the line feed."""
+    fields: object = event
+    if isinstance(event, PlatformFailed):
+        name = type(event.request).__name__
+        fields = {"reason": event.reason, "request": name, "asked": event.request}
+    raw = msgspec.Raw(msgspec.json.encode(fields))
+    return msgspec.json.encode(EventLine(now, type(event).__name__, raw))
+
+
+def decode_event(line: EventLine) -> Event:
+    """Return the event of a line.
+
+    Raises:
+        TraceError: If its name or its fields are not those of an event.
+    """
+    kind = _EVENT_BY_NAME.get(line.event)
+    if kind is None:
+        raise TraceError(f"unknown event {line.event!r}")
+    try:
+        if kind is PlatformFailed:
+            return _decode_failure(msgspec.json.decode(line.fields))
+        return msgspec.json.decode(line.fields, type=kind)
+    except (msgspec.DecodeError, KeyError, TypeError) as error:
+        raise TraceError(f"{line.event}: {error}") from error
+
+
+def _decode_failure(fields: dict) -> PlatformFailed:
+    kind = _REQUEST_BY_NAME[fields["request"]]
+    known = inspect.signature(kind).parameters
+    asked = {name: value for name, value in fields["asked"].items() if name in known}
+    return PlatformFailed(kind(**asked), fields["reason"])
+
+
+def _decode_line(line: bytes) -> EventLine | StatedOutcome:
+    return _OUTCOME.decode(line) if b'"outcome"' in line[:12] else _EVENT.decode(line)
+
+
+def read_trace(path: Path) -> tuple[Header, Iterator[EventLine | StatedOutcome]]:
+    """Read a trace.
+
+    Returns:
+        The header, and the further lines in their order.
+
+    Raises:
+        TraceError: If the file cannot be read, or names the line that is not well formed.
+    """
+    try:
+        lines = path.read_bytes().splitlines()
+    except OSError as error:
+        raise TraceError(f"{path}: cannot be read: {error.strerror}") from error
+    if not lines:
+        raise TraceError(f"{path}: empty")
+    try:
+        header = _HEADER.decode(lines[0])
+    except msgspec.DecodeError as error:
+        raise TraceError(f"{path}:1: {error}") from error
+    return header, _decode_lines(path, lines[1:])
+
+
+def _decode_lines(path: Path, lines: list[bytes]) -> Iterator[EventLine | StatedOutcome]:
+    for number, line in enumerate(lines, 2):
+        try:
+            yield _decode_line(line)
+        except msgspec.DecodeError as error:
+            raise TraceError(f"{path}:{number}: {error}") from error
