--- a/src/pollenroad/commands/replay.py
+++ b/src/pollenroad/commands/replay.py
@@ -43,4 +43,5 @@
     if not traces:
         print("replay: no trace was named or found", file=sys.stderr)
         return 1
-    return 0 if all([_replay_one(trace) for trace in traces]) else 1
+    are_met = [_replay_one(trace) for trace in traces]
+    return 0 if all(are_met) else 1
