Send head and body in one segment, towards callers and servers

Cause: pywsgi and http.client write head and body apart; with TCP_NODELAY the other side wakes twice for each message. Change: both are held back until the message is whole.

--- a/src/pollenroad/http.py
+++ b/src/pollenroad/http.py
@@ -40,6 +40,7 @@
 
     def __init__(self, sock, address, server, rfile=None):
         set_no_delay(sock)
+        self._held_back: bytearray | None = None
         super().__init__(sock, address, server, rfile)
 
     def get_environ(self):
@@ -48,6 +49,19 @@
         environ["pollenroad.socket"] = self.socket
         return environ
 
+    def _write_with_headers(self, data):
+        """Send head and first data in one segment, so that the caller wakes once."""
+        self._held_back = bytearray()
+        super()._write_with_headers(data)
+        held_back, self._held_back = self._held_back, None
+        super()._sendall(held_back)
+
+    def _sendall(self, data):
+        if self._held_back is None:
+            super()._sendall(data)
+        else:
+            self._held_back += data
+
     def log_request(self):
         """Write no access log; the catalogue has the events."""
 
--- a/src/pollenroad/upstream.py
+++ b/src/pollenroad/upstream.py
@@ -67,6 +67,28 @@
     return True
 
 
+class _Connection(HTTPConnection):
+    """A connection that sends head and body in one segment, so that the server wakes once."""
+
+    _held_back: list[bytes] | None = None
+
+    def send(self, data) -> None:
+        """Send bytes, or hold them back while a request is put together."""
+        if self._held_back is None:
+            super().send(data)
+        else:
+            self._held_back.append(data)
+
+    def request(self, *arguments, **options) -> None:
+        """Send a whole request."""
+        self._held_back = []
+        try:
+            super().request(*arguments, **options)
+        finally:
+            held_back, self._held_back = self._held_back, None
+        super().send(b"".join(held_back))
+
+
 class _Connections:
     """Idle connections to one server; each is lent to one exchange at a time."""
 
@@ -86,7 +108,7 @@
             if not _is_dropped(connection):
                 return connection
             connection.close()
-        connection = HTTPConnection(self._host, self._port, timeout=CONNECT_TIMEOUT_S)
+        connection = _Connection(self._host, self._port, timeout=CONNECT_TIMEOUT_S)
         connection.connect()
         return connection
 
