Answer 400 to a body that is not whole, take chunked bodies, refuse bodies by the service's limit

Cause, found by the first tests of the HTTP side over real sockets: the header block that replaced http.client's lacked item deletion, which pywsgi uses for chunked bodies, so each got 400 (500 in the log); a body that ended early became 500 with a traceback; max_body_bytes was enforced nowhere.

--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry.py
@@ -109,6 +109,10 @@
         if request_class is None:
             yield AnswerCall(call.call_id, Verdict.NOT_RUN, "unknown-class")
             return
+        if len(call.request.body) > service.document.max_body_bytes:
+            detail = f"the body may have {service.document.max_body_bytes} bytes"
+            yield AnswerCall(call.call_id, Verdict.NOT_RUN, "body-too-large", detail=detail)
+            return
         limit_ms = min(call.deadline_ms or request_class.deadline_ms, request_class.deadline_ms)
         open_call = OpenCall(call, request_class, now, now + limit_ms / 1000)
         self._call_by_id[call.call_id] = open_call
--- a/src/pollenroad/frames.py
+++ b/src/pollenroad/frames.py
@@ -18,9 +18,14 @@
 _DECODER = msgspec.msgpack.Decoder(PeerMessage)
 
 
+def encode_body(message: PeerMessage) -> bytes:
+    """Return the body of a message's frame."""
+    return _ENCODER.encode(message)
+
+
 def encode_frame(message: PeerMessage) -> bytes:
     """Return the frame of one message."""
-    body = _ENCODER.encode(message)
+    body = encode_body(message)
     return _LENGTH.pack(len(body)) + body
 
 
--- a/src/pollenroad/header_block.py
+++ b/src/pollenroad/header_block.py
@@ -53,6 +53,9 @@
             for value in values:
                 yield f"{name}: {value}\r\n"
 
+    def __delitem__(self, name: str) -> None:
+        self._values_by_name.pop(name.lower(), None)
+
     def __contains__(self, name: str) -> bool:
         return name.lower() in self._values_by_name
 
--- a/src/pollenroad/http.py
+++ b/src/pollenroad/http.py
@@ -85,7 +85,10 @@
     length = bottle.request.environ.get("CONTENT_LENGTH") or "0"
     if length.isdigit() and int(length) > MAX_BODY_BYTES:
         raise bottle.HTTPError(413, f"the body may have {MAX_BODY_BYTES} bytes")
-    body = bottle.request.environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    try:
+        body = bottle.request.environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    except OSError:
+        raise bottle.HTTPError(400, "the body is not whole") from None
     if len(body) > MAX_BODY_BYTES:
         raise bottle.HTTPError(413, f"the body may have {MAX_BODY_BYTES} bytes")
     if length.isdigit() and len(body) < int(length):
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,150 @@
+"""Tests of the HTTP side towards callers, over real sockets."""
+
+import json
+import socket
+import unittest
+
+import gevent
+from gevent.event import AsyncResult
+
+from pollenroad.boundary import AnswerCall, CallAbandoned, CallArrived
+from pollenroad.http import MAX_BODY_BYTES, Calls, make_call_app, make_call_server
+from pollenroad.messages import Response
+from pollenroad.verdicts import Verdict
+
+TIMEOUT_S = 5.0
+SERVER_HEADERS = (("Content-Type", "text/plain"), ("X-Server", "1"))
+
+
+class CallServerTest(unittest.TestCase):
+    def setUp(self):
+        self.events = []
+        self.abandoned = AsyncResult()
+        self.refusal = ""
+        self.reply = lambda call: AnswerCall(
+            call.call_id, Verdict.RAN, "", Response(200, SERVER_HEADERS, b"hello"), 1, "e-1"
+        )
+        self.calls = Calls(self._post, lambda: self.refusal)
+        self.server = make_call_server("127.0.0.1:0", make_call_app(self.calls), 100)
+        self.server.start()
+        self.addCleanup(self.server.stop, 1)
+
+    def _post(self, event):
+        self.events.append(event)
+        match event:
+            case CallArrived():
+                answer = self.reply(event)
+                if answer is not None:
+                    gevent.spawn(self.calls.answer, answer)
+            case CallAbandoned(call_id):
+                self.abandoned.set(call_id)
+
+    def connect(self):
+        sock = socket.create_connection(self.server.address, TIMEOUT_S)
+        self.addCleanup(sock.close)
+        return sock
+
+    def send(self, data: bytes):
+        """Send bytes and return status, headers and body.
+
+        Data that asks the server to close ends there; after any other the sending side is closed.
+        """
+        sock = self.connect()
+        sock.sendall(data)
+        if b"Connection: close" not in data:
+            sock.shutdown(socket.SHUT_WR)
+        answer = b"".join(iter(lambda: sock.recv(65536), b""))
+        head, _, body = answer.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        fields = dict(line.split(": ", 1) for line in lines[1:])
+        return int(lines[0].split()[1]), fields, body
+
+    def request(self, line="GET /w/s/a/b?c=1", headers="", body=b""):
+        head = f"{line} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{headers}\r\n"
+        return self.send(head.encode() + body)
+
+    def arrived(self) -> CallArrived:
+        return next(event for event in self.events if isinstance(event, CallArrived))
+
+    def test_the_whole_answer_comes_with_its_verdict(self):
+        status, fields, body = self.request()
+        self.assertEqual((status, body), (200, b"hello"))
+        self.assertEqual(fields["Pollenroad-Verdict"], "ran")
+        self.assertEqual(fields["Pollenroad-Endpoint"], "e-1")
+        self.assertEqual(fields["X-Server"], "1")
+        self.assertEqual(self.arrived().request.path, "/a/b?c=1")
+
+    def test_bodies_of_fixed_length_chunked_and_empty_arrive_whole(self):
+        cases = {
+            "Content-Length: 5\r\n": (b"12345", b"12345"),
+            "Transfer-Encoding: chunked\r\n": (b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", b"abcde"),
+            "Content-Length: 0\r\n": (b"", b""),
+        }
+        for headers, (sent, expected) in cases.items():
+            with self.subTest(headers=headers):
+                self.events.clear()
+                status, _, _ = self.request("POST /w/s/x", headers, sent)
+                self.assertEqual(status, 200)
+                self.assertEqual(self.arrived().request.body, expected)
+
+    def test_head_has_the_length_and_no_body(self):
+        headers = (("Content-Length", "5"),)
+        self.reply = lambda call: AnswerCall(
+            call.call_id, Verdict.RAN, "", Response(200, headers, b""), 1
+        )
+        status, fields, body = self.request("HEAD /w/s/x")
+        self.assertEqual((status, fields["Content-Length"], body), (200, "5", b""))
+
+    def test_hop_by_hop_and_own_headers_do_not_pass(self):
+        self.request(headers="TE: x\r\nKeep-Alive: 1\r\nPollenroad-Depth: 2\r\nX-Mine: 1\r\n")
+        names = {name for name, _ in self.arrived().request.headers}
+        self.assertEqual(names, {"X-Mine"})
+        self.assertEqual(self.arrived().depth, 2)
+
+    def test_malformed_requests_get_400_and_reach_no_core(self):
+        cases = (
+            b"nonsense\r\n\r\n",
+            b"GET /w/s HTTP/1.1\r\nno colon\r\nConnection: close\r\n\r\n",
+            b"POST /w/s HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: x\r\n\r\n",
+            b"POST /w/s HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nshort",
+            b"GET /w/s HTTP/1.1\r\nConnection: close\r\nPollenroad-Deadline-Ms: soon\r\n\r\n",
+        )
+        for data in cases:
+            with self.subTest(data=data[:60]):
+                status, _, body = self.send(data)
+                self.assertEqual(status, 400)
+                self.assertNotIn(b"Traceback", body)
+        self.assertEqual(self.events, [])
+
+    def test_a_body_above_the_limit_gets_413(self):
+        length = MAX_BODY_BYTES + 1
+        head = f"POST /w/s/x HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n"
+        status, _, _ = self.send(head.encode())
+        self.assertEqual(status, 413)
+        self.assertEqual(self.events, [])
+
+    def test_a_refusal_names_verdict_reason_and_when_to_come_back(self):
+        self.reply = lambda call: AnswerCall(
+            call.call_id, Verdict.NOT_RUN, "limit-rate", retry_after_ms=300, detail="5 a second"
+        )
+        status, fields, body = self.request()
+        self.assertEqual((status, fields["Pollenroad-Verdict"]), (429, "not-run"))
+        self.assertEqual((fields["Retry-After"], fields["Pollenroad-Retry-After-Ms"]), ("1", "300"))
+        expected = {"verdict": "not-run", "reason": "limit-rate", "detail": "5 a second"}
+        self.assertEqual(json.loads(body), expected)
+
+    def test_a_daemon_that_leaves_refuses_and_closes(self):
+        self.refusal = "leaving"
+        status, fields, _ = self.request()
+        self.assertEqual((status, fields["Pollenroad-Reason"]), (503, "leaving"))
+        self.assertEqual(self.events, [])
+
+    def test_a_caller_that_goes_away_abandons_its_call(self):
+        self.reply = lambda call: None
+        sock = self.connect()
+        sock.sendall(b"GET /w/s/x HTTP/1.1\r\nHost: h\r\n\r\n")
+        with gevent.Timeout(TIMEOUT_S):
+            while not self.events:
+                gevent.sleep(0)
+            sock.close()
+            self.assertEqual(self.abandoned.get(), self.arrived().call_id)
