Take a returning endpoint as cold at the entry too; retry the highest worth

And no overloaded call was tried again without a spare slot in sight, although the highest worth takes the place of a lower one anywhere.

Ruled out: a longer wait at the guard (the deadline pays for it).

Change: an endpoint that joins a router or returns to it starts with its cold bound; a refused call of the highest worth may be tried again within the budget.

--- a/src/pollenroad/bench/failure_domain.py
+++ b/src/pollenroad/bench/failure_domain.py
@@ -54,16 +54,17 @@
 
     begin: float
     left: float
+    """After the change that takes the domain out was published."""
     returned: float
+    """Before the change that brings it back was published."""
     end: float
 
 
-def _publish(fleet: Fleet, domains: tuple[str, ...]) -> float:
+def _publish(fleet: Fleet, domains: tuple[str, ...]) -> None:
     for key in LOAD_BY_SERVICE:
         document = fleet.document(key)
         out = OutOfService(failure_domains=domains)
         fleet.publish(replace(document, version=document.version + 1, out_of_service=out))
-    return time.time()
 
 
 def _sleep_until(moment: float) -> None:
@@ -76,11 +77,13 @@
 
 def _leave_and_return(fleet: Fleet, begin: float) -> _Times:
     _sleep_until(begin + LEAVE_S)
-    left = _publish(fleet, (DOMAIN,))
+    _publish(fleet, (DOMAIN,))
+    left = time.time()
     _sleep_until(begin + RETURN_S)
     for node in _nodes_of_domain(fleet):
         node.control(turn_cold=True)
-    returned = _publish(fleet, ())
+    returned = time.time()
+    _publish(fleet, ())
     return _Times(begin, left, returned, begin + END_S)
 
 
--- a/src/pollenroad/loads.py
+++ b/src/pollenroad/loads.py
@@ -244,5 +244,5 @@
 
 
 def make_endpoint_load(endpoint: Endpoint, slots: int) -> EndpointLoad:
-    """Make the load of an endpoint of which nothing is known yet."""
+    """Make the load of an endpoint of which only is known that it admits `slots`, or fewer."""
     return EndpointLoad(endpoint, slots)
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -149,13 +149,25 @@
         subset = subset_of(
             in_service, document.subset_size, self._place.ring_place, self._place.failure_domain
         )
-        self._load_by_name = {e.name: self._load_of(e, document.slots) for e in subset}
+        bound = self._first_bound()
+        self._load_by_name = {e.name: self._load_of(e, bound) for e in subset}
         self._usable = list(self._load_by_name.values())
 
-    def _load_of(self, endpoint: Endpoint, slots: int) -> EndpointLoad:
+    def _first_bound(self) -> int:
+        """Return what an endpoint is taken to bear that is not known yet.
+
+        One that joins or returns is cold until its guard says otherwise; at the first document all
+        are unknown, and most will be warm.
+        """
+        document = self._document
+        if not self._load_by_name:
+            return document.slots
+        return min(document.slots, document.cold_start.bound)
+
+    def _load_of(self, endpoint: Endpoint, bound: int) -> EndpointLoad:
         load = self._load_by_name.get(endpoint.name)
         if load is None or load.endpoint != endpoint:
-            return make_endpoint_load(endpoint, slots)
+            return make_endpoint_load(endpoint, bound)
         return load
 
     def _latencies(self, class_name: str) -> Latencies:
--- a/src/pollenroad/services.py
+++ b/src/pollenroad/services.py
@@ -68,6 +68,12 @@
         call.may_run_again |= may_rerun
         return self._refusal_budget.spend(now)
 
+    def _may_find_place(self, call: OpenCall, now: float) -> bool:
+        """Tell whether another guard may take a refused call: a free slot, or by its worth."""
+        worths = {c.worth for c in self.document.classes}
+        is_highest = len(worths) > 1 and call.request_class.worth == max(worths)
+        return is_highest or self.router.spare_share(now) > 0
+
 
 class Services:
     """The services of which an entry knows a document; state is kept for those in use only."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,7 +4,7 @@
 import unittest
 from collections import Counter
 
-from pollenroad.models import OutOfService
+from pollenroad.models import ColdStart, OutOfService
 from pollenroad.routing import POLICY_BY_NAME, RouterPlace, make_router
 from pollenroad.verdicts import Verdict
 from tests.entry_samples import make_document, make_report
@@ -51,6 +51,17 @@
         router.exclude(frozenset())
         self.assertEqual(set(self.choices(router, 0.0)), {"booking-0", "booking-3"})
 
+    def test_an_endpoint_that_returns_is_taken_as_cold_until_it_reports(self):
+        cold = ColdStart(bound=1)
+        router = self.make(cold_start=cold)
+        out = OutOfService(failure_domains=("ub-1",))
+        router.configure(make_document(cold_start=cold, out_of_service=out))
+        self.assertEqual(router.spare_share(0.0), 1.0)
+        router.configure(make_document(cold_start=cold))
+        bounds = {load.endpoint.name: load.bound for load in router._usable}
+        self.assertEqual(bounds["booking-1"], 1)
+        self.assertEqual(bounds["booking-0"], make_document().slots)
+
     def test_the_own_failure_domain_is_preferred_until_it_is_loaded(self):
         router = self.make()
         self.assertEqual(set(self.choices(router, 0.0)), {"booking-0", "booking-3"})
