Let leases last longer the further a customer is below its limit

Change: waiting calls get tokens for 0.1 s; tokens ahead live up to 1 s within a bound on those out; burst 0.14 s; standby 0.1 of a share.

--- a/src/pollenroad/limit_lease.py
+++ b/src/pollenroad/limit_lease.py
@@ -41,6 +41,8 @@
         self.asked_tokens = 0
         self.asked_at = NEVER
         self.asked_peer = ""
+        self.ahead_lease_s = LEASE_S
+        """Life that the owner last gave to tokens granted ahead, in seconds."""
         self._permits_expire = NEVER
         self._batches: deque[list] = deque()
         self._retry_at = NEVER
@@ -85,9 +87,14 @@
         self.permits = grant.permits
         self._permits_expire = self.asked_at + PERMIT_LEASE_S
         self._retry_at = now + grant.retry_after_ms / 1000
-        if grant.tokens:
-            expires = self.asked_at + grant.waited_ms / 1000 + LEASE_S
-            self._batches.append([expires, grant.tokens])
+        begin = self.asked_at + grant.waited_ms / 1000
+        self.ahead_lease_s = grant.ahead_lease_ms / 1000
+        batches = [
+            [begin + LEASE_S, grant.tokens],
+            [begin + self.ahead_lease_s, grant.tokens_ahead],
+        ]
+        kept = [batch for batch in [*self._batches, *batches] if batch[1]]
+        self._batches = deque(sorted(kept))
 
     # --- Spending ---
 
@@ -227,6 +234,10 @@
         with_permit.used += 1
         return with_permit
 
+    def ahead_lease_s(self) -> float:
+        """Return the shortest life that an owner last gave to tokens granted ahead."""
+        return min((share.ahead_lease_s for share in self.shares), default=LEASE_S)
+
     def lacks_permits(self, now: float) -> bool:
         """Tell whether permits are what is missing, rather than tokens."""
         if self.tokens(now):
--- a/src/pollenroad/limit_owner.py
+++ b/src/pollenroad/limit_owner.py
@@ -7,14 +7,18 @@
 `pollenroad.boundary`.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
 from pollenroad.boundary import Action, DocumentInForce, Event, PeerReceived, SendPeer, Tick
 from pollenroad.limit_shares import (
+    LEASE_S,
+    LONGEST_LEASE_S,
     PERMIT_LEASE_S,
     STANDBY_RATIO,
     TokenBucket,
+    ahead_tokens,
     choose_owners,
     limit_of,
     owner_candidates,
@@ -28,6 +32,12 @@
 SERVE_GAP_S = 0.05
 """Shortest time between two rounds that serve waiting requests, in seconds."""
 
+AHEAD_RESERVE = 4
+"""What is granted ahead leaves one part in so many of the burst to waiting calls."""
+
+USAGE_WINDOW_S = 1.0
+"""Time constant of the estimate of a share's use, in seconds."""
+
 WARM_UP_RATIO = 0.2
 """Part of its permits that an owner hands out during its first lease time."""
 
@@ -56,7 +66,13 @@
 class _Share:
     bucket: TokenBucket
     capacity: int
+    ahead_bound: int
+    """Tokens that may be out in long leases."""
     last_used: float
+    usage_per_s: float = 0.0
+    usage_at: float = float("-inf")
+    ahead_leases: deque[tuple[float, int]] = field(default_factory=deque)
+    """Expiry and tokens of the long leases that are out, in order."""
     last_served: float = float("-inf")
     permits_by_peer: dict[str, _Permits] = field(default_factory=dict)
     pending: deque[_Pending] = field(default_factory=deque)
@@ -123,6 +139,7 @@
         fresh.bucket.tokens = min(fresh.bucket.burst, share.bucket.tokens)
         share.bucket = fresh.bucket
         share.capacity = fresh.capacity
+        share.ahead_bound = fresh.ahead_bound
 
     def _make_share(self, key: ShareKey, now: float) -> _Share | None:
         """Return a new share for `key`, or None if this daemon hands out no part of it."""
@@ -140,14 +157,16 @@
         rate = limit.rate_per_s / len(owners)
         capacity = share_concurrency(limit, len(owners), index)
         burst = share_burst(rate)
+        ahead_bound = ahead_tokens(rate)
         if owners[index].primary != self._address:
             rate *= STANDBY_RATIO
             burst = standby_burst(rate)
             capacity = int(capacity * STANDBY_RATIO) or 1
+            ahead_bound = 0
         # A share unused since the start has accrued tokens since then, and no more.
         bucket = TokenBucket(rate, burst, 0.0, self._started)
         bucket.refill(now)
-        return _Share(bucket, capacity, now)
+        return _Share(bucket, capacity, ahead_bound, now)
 
     # --- Requests ---
 
@@ -178,14 +197,18 @@
     def _serve(self, share: _Share, pending: _Pending, now: float) -> SendPeer:
         request = pending.request
         tokens = share.bucket.take(request.tokens)
-        spare = int(share.bucket.tokens - share.bucket.burst / 2)
+        lease_s = _ahead_lease_s(share, now)
+        ahead = 0
         if tokens == request.tokens and not share.pending:
-            tokens += share.bucket.take(min(request.tokens_ahead, spare))
+            ahead, lease_s = _take_ahead(share, request.tokens_ahead, lease_s, now)
+        _count_usage(share, tokens + ahead, now)
         permits = self._give_permits(share, pending.peer, request, now)
         retry_at = share.bucket.time_of(1 + len(share.pending))
         grant = _grant(
             request,
             tokens=tokens,
+            tokens_ahead=ahead,
+            ahead_lease_ms=round(lease_s * 1000, 1),
             permits=permits,
             contended=now < share.contended_until,
             retry_after_ms=round(max(0.0, retry_at - now) * 1000, 1),
@@ -253,6 +276,38 @@
     return min(token_at, share.pending[0].due)
 
 
+def _count_usage(share: _Share, tokens: int, now: float) -> None:
+    share.usage_per_s = _usage_per_s(share, now) + tokens / USAGE_WINDOW_S
+    share.usage_at = now
+
+
+def _usage_per_s(share: _Share, now: float) -> float:
+    return share.usage_per_s * math.exp(-(now - share.usage_at) / USAGE_WINDOW_S)
+
+
+def _ahead_lease_s(share: _Share, now: float) -> float:
+    """Return the longest lease for which the usual use stays within the bound on long leases."""
+    usage = _usage_per_s(share, now)
+    if not usage:
+        return LONGEST_LEASE_S if share.ahead_bound else LEASE_S
+    return max(LEASE_S, min(LONGEST_LEASE_S, share.ahead_bound / usage))
+
+
+def _take_ahead(share: _Share, wanted: int, lease_s: float, now: float) -> tuple[int, float]:
+    """Take tokens for a long lease, or for a short one if too many are out; return both."""
+    leases = share.ahead_leases
+    while leases and leases[0][0] <= now:
+        leases.popleft()
+    spare = int(share.bucket.tokens - share.bucket.burst / AHEAD_RESERVE)
+    room = share.ahead_bound - sum(count for _, count in leases)
+    if lease_s <= LEASE_S or room < min(wanted, spare):
+        return share.bucket.take(min(wanted, spare)), LEASE_S
+    taken = share.bucket.take(min(wanted, spare))
+    if taken:
+        leases.append((max(now + lease_s, leases[-1][0] if leases else now), taken))
+    return taken, lease_s
+
+
 def _grant(request: LimitRequest, **fields) -> LimitGrant:
     return LimitGrant(
         request.workspace, request.customer, request.share, request.sequence, **fields
--- a/src/pollenroad/limit_shares.py
+++ b/src/pollenroad/limit_shares.py
@@ -21,16 +21,22 @@
 SHARE_MIN_CONCURRENCY = 10
 """Requests in flight below which a share is not divided further."""
 
-LEASE_S = 0.15
-"""Life of a granted token at an entry, in seconds, from the moment of asking."""
+LEASE_S = 0.1
+"""Life of a token that is granted to a waiting call, in seconds, from the moment of asking."""
 
-BURST_S = 0.1
+LONGEST_LEASE_S = 1.0
+"""Longest life of a token that is granted ahead, in seconds."""
+
+AHEAD_S = 0.12
+"""Rate that may be out in leases longer than `LEASE_S`, in seconds."""
+
+BURST_S = 0.14
 """Unused rate that a share keeps, in seconds."""
 
 BURST_MIN = 2.0
 """Tokens that even a small share keeps, so that irregular arrivals lose none."""
 
-STANDBY_RATIO = 0.15
+STANDBY_RATIO = 0.1
 """Part of a share that its standby may hand out."""
 
 PERMIT_LEASE_S = 1.0
@@ -109,6 +115,12 @@
     return max(BURST_MIN, share_rate * BURST_S)
 
 
+def ahead_tokens(share_rate: float) -> int:
+    """Return the tokens that a share's owner may have out in long leases; none if it is small."""
+    tokens = int(share_rate * AHEAD_S)
+    return tokens if tokens > 1 else 0
+
+
 def standby_burst(standby_rate: float) -> float:
     """Return the burst of a share's standby, in tokens."""
     return max(1.0, standby_rate * BURST_S)
@@ -117,13 +129,13 @@
 def window_bound(limit: CustomerLimit, shares: int) -> int:
     """Return the most calls that may be admitted in any second, under any partition.
 
-    A token granted up to one lease before the window may be used in it, and a share's burst may
-    fall into it. This is at most 1.5 times the limit from 10 requests a second upwards, and at
-    most three calls more than that below.
+    Tokens out in leases when the window begins may be used in it, and a share's burst may fall
+    into it. This is at most 1.5 times the limit from 10 requests a second upwards, and at most
+    three calls more than that below.
     """
     rate = limit.rate_per_s / shares
     standby_rate = rate * STANDBY_RATIO
-    primary = math.floor(rate * (1 + LEASE_S) + share_burst(rate))
+    primary = math.floor(rate * (1 + LEASE_S) + share_burst(rate)) + ahead_tokens(rate)
     standby = math.floor(standby_rate * (1 + LEASE_S) + standby_burst(standby_rate))
     return shares * (primary + standby)
 
--- a/src/pollenroad/limits.py
+++ b/src/pollenroad/limits.py
@@ -28,9 +28,12 @@
 """Time by which an owner's last chance to grant precedes the end of the wait, in seconds."""
 
 HORIZON_S = 0.1
-"""Expected traffic that an entry asks for ahead, in seconds."""
+"""Expected traffic that an entry asks for ahead at the least, in seconds."""
 
-LOW_WATER = 0.5
+AHEAD_SHARE = 0.7
+"""Part of a lease's life for which an entry asks ahead, so that few tokens expire."""
+
+LOW_WATER = 0.25
 """Part of the expected traffic that, when left, triggers the next request."""
 
 ASK_GAP_S = 0.02
@@ -48,7 +51,7 @@
 SUSPECT_S = 0.5
 """Time for which an unreachable owner is passed over, in seconds."""
 
-SETTLE_S = 0.1
+SETTLE_S = 0.5
 """Time after the last call of a customer until unused permits are returned, in seconds."""
 
 IDLE_S = 10.0
@@ -207,7 +210,8 @@
 
     def _demand(self, lease: CustomerLease, now: float) -> Demand:
         tokens, asked = lease.tokens(now), lease.asked(now)
-        expected = lease.rate_per_s(now) * HORIZON_S
+        horizon_s = max(HORIZON_S, lease.ahead_lease_s() * AHEAD_SHARE)
+        expected = lease.rate_per_s(now) * horizon_s
         ahead = 0
         if tokens + asked < expected * LOW_WATER:
             ahead = round(expected - tokens)
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -137,6 +137,7 @@
     "contended": "x",
     "retry_after_ms": "r",
     "waited_ms": "v",
+    "ahead_lease_ms": "l",
     "refusal": "f",
 }
 """Field names on the wire of the limit messages, which are sent several times a second."""
@@ -172,6 +173,10 @@
     share: int
     sequence: int
     tokens: int = 0
+    tokens_ahead: int = 0
+    """Further tokens, with a lease of their own."""
+    ahead_lease_ms: float = 0.0
+    """Life of such tokens; entries ask ahead for less than that, also where none are granted."""
     permits: int = 0
     """Permits that the entry holds from now on."""
     contended: bool = False
