--- /dev/null
+++ b/src/pollenroad/cores.py
@@ -0,0 +1,162 @@
+"""The cores of one daemon, and which events concern which.
+
+No I/O: see `pollenroad.boundary`. The daemon drives one `Cores`; an outside harness may drive many
+in one process with its own clock and network.
+"""
+
+import random
+from collections import deque
+from collections.abc import Iterator
+
+from pollenroad.boundary import (
+    Action,
+    AttemptUnsent,
+    CallAbandoned,
+    CallArrived,
+    DocumentInForce,
+    DocumentRead,
+    DocumentsListed,
+    Event,
+    MembershipChanged,
+    PeerLost,
+    PeerReceived,
+    PlatformFailed,
+    ServerAnswered,
+    ServerFailed,
+    ServerProbed,
+    ServerShed,
+    StopRequested,
+    Tick,
+    VmsListed,
+    WatchReturned,
+)
+from pollenroad.entry import make_entry
+from pollenroad.explain import sentences
+from pollenroad.guard import make_guard
+from pollenroad.headroom import capacity_warnings
+from pollenroad.limit_owner import make_limit_owner
+from pollenroad.messages import (
+    Attempt,
+    AttemptAnswer,
+    CancelAttempt,
+    Leaving,
+    LimitGrant,
+    LimitRequest,
+    LimitReturn,
+    LoadReport,
+)
+from pollenroad.models import Document
+from pollenroad.relay import RelaySettings, make_relay
+
+
+class Cores:
+    """Entry, guard, limit owner and relay of one daemon."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        service: str,
+        relay_settings: RelaySettings,
+        rng: random.Random,
+        now: float,
+    ):
+        vm = relay_settings.vm
+        self.entry = make_entry(incarnation, relay_settings.failure_domain, rng, vm)
+        self.guard = make_guard(service, vm)
+        self.limit_owner = make_limit_owner(relay_settings.address, now)
+        self.relay = make_relay(relay_settings, _explain, rng)
+        self._all = (self.entry, self.guard, self.limit_owner, self.relay)
+        self._workers = (self.entry, self.guard, self.limit_owner)
+        self._cores_by_event = self._by_event()
+        self._cores_by_message = self._by_message()
+
+    def _by_event(self) -> dict[type, tuple]:
+        return {
+            CallArrived: (self.entry,),
+            CallAbandoned: (self.entry,),
+            AttemptUnsent: (self.entry,),
+            PeerLost: (self.entry,),
+            ServerAnswered: (self.guard,),
+            ServerFailed: (self.guard,),
+            ServerShed: (self.guard,),
+            ServerProbed: (self.guard,),
+            DocumentInForce: self._workers,
+            MembershipChanged: self._workers,
+            DocumentRead: (self.relay,),
+            DocumentsListed: (self.relay,),
+            WatchReturned: (self.relay,),
+            VmsListed: (self.relay,),
+            PlatformFailed: (self.relay,),
+            StopRequested: (self.guard, self.relay),
+        }
+
+    def _by_message(self) -> dict[type, tuple]:
+        return {
+            Attempt: (self.guard,),
+            CancelAttempt: (self.guard,),
+            AttemptAnswer: (self.entry,),
+            LoadReport: (self.entry,),
+            LimitGrant: (self.entry,),
+            LimitRequest: (self.limit_owner,),
+            LimitReturn: (self.limit_owner,),
+            Leaving: (self.relay,),
+        }
+
+    def next_due(self) -> float | None:
+        """Return when `Tick` is next needed, in monotonic seconds."""
+        dues = [due for core in self._all if (due := core.next_due()) is not None]
+        return min(dues, default=None)
+
+    def handle(self, event: Event, now: float) -> Iterator[Action]:
+        """Take one event and yield what is to be done.
+
+        What the relay tells the other cores is passed on here and yielded as well.
+        """
+        events = deque([event])
+        while events:
+            current = events.popleft()
+            for core in self._concerned(current, now):
+                for action in core.handle(current, now):
+                    if isinstance(action, DocumentInForce | MembershipChanged):
+                        events.append(action)
+                    yield action
+
+    def _concerned(self, event: Event, now: float) -> tuple:
+        match event:
+            case Tick():
+                return tuple(core for core in self._all if _is_due(core, now))
+            case PeerReceived(_, AttemptAnswer(reason="leaving")):
+                return (self.entry, self.relay)
+            case PeerReceived(_, message):
+                return self._cores_by_message.get(type(message), (self.relay,))
+            case _:
+                return self._cores_by_event[type(event)]
+
+
+def _is_due(core, now: float) -> bool:
+    due = core.next_due()
+    return due is not None and due <= now
+
+
+def _explain(previous: Document | None, document: Document) -> list[str]:
+    warnings = capacity_warnings(previous, document)
+    return [*sentences(previous, document), *(str(warning) for warning in warnings)]
+
+
+def make_cores(
+    incarnation: str,
+    service: str,
+    relay_settings: RelaySettings,
+    rng: random.Random,
+    now: float,
+) -> Cores:
+    """Make the cores of one daemon.
+
+    Args:
+        incarnation: Prefix of attempt ids, unique over daemons and restarts.
+        service: Key of the service of the server beside the daemon.
+        relay_settings: Addresses and places of the daemon.
+        rng: Source of randomness.
+        now: Monotonic time in seconds.
+    """
+    return Cores(incarnation, service, relay_settings, rng, now)
--- a/src/pollenroad/metrics.py
+++ b/src/pollenroad/metrics.py
@@ -53,7 +53,7 @@
     def collect(self) -> Iterator[Metric]:
         """Yield the metrics of the daemon's parts."""
         yield from _costs(self._daemon.cost_meter)
-        daemon, guard = self._daemon, self._daemon.guard
+        daemon, guard = self._daemon, self._daemon.cores.guard
         yield _gauge("guard_in_flight_requests", "Requests at the server now.", guard.in_flight)
         yield _gauge("guard_bound_requests", "Requests that the guard admits now.", guard.bound)
         yield _gauge("open_calls", "Calls of callers without an answer.", len(daemon.calls))
