Fetch a newer document from the entry that goes by it

Cause: a daemon that missed a change learned of it with the second heartbeat at the latest, while an attempt that names the newer version may reach it earlier. Change: such an attempt also goes to the relay, which fetches the document from that entry.

--- a/src/pollenroad/cores.py
+++ b/src/pollenroad/cores.py
@@ -125,6 +125,8 @@
         match event:
             case Tick():
                 return tuple(core for core in self._all if _is_due(core, now))
+            case PeerReceived(_, Attempt() as attempt) if self.relay.is_behind(attempt):
+                return (self.guard, self.relay)
             case PeerReceived(_, AttemptAnswer(reason="leaving")):
                 return (self.entry, self.relay)
             case PeerReceived(_, message):
--- a/src/pollenroad/relay.py
+++ b/src/pollenroad/relay.py
@@ -35,6 +35,7 @@
 from pollenroad.messages import (
     Announce,
     AskDigests,
+    Attempt,
     DocumentCopy,
     FetchDocuments,
     Heartbeat,
@@ -104,6 +105,10 @@
         """The membership that was told to the entry last."""
         return self._liveness.view
 
+    def is_behind(self, attempt: Attempt) -> bool:
+        """Tell whether an entry goes by a newer document than the one in force here."""
+        return attempt.config_version > self.configuration.version(attempt.service)
+
     def is_member(self, address: str) -> bool:
         """Tell whether a peer address belongs to a known daemon; before any is known, all do."""
         return not len(self.directory) or self.directory.name_at(address) is not None
@@ -163,6 +168,8 @@
                 return [*everything, *self._liveness.everything(peer)]
             case FetchDocuments():
                 return self._spreading.copies(peer, message)
+            case Attempt(service=service, config_version=version):
+                self._spreading.want(service, version, peer)
             case DocumentCopy(key, data):
                 return self._offer(key, data, peer, now)
             case VmNews(statuses, listings):
--- a/src/pollenroad/spreading.py
+++ b/src/pollenroad/spreading.py
@@ -121,6 +121,11 @@
         refused = Refused("conflict", reason, digest.version)
         return self._note_refused(digest.key, digest.digest, refused, peer, wall_s)
 
+    def want(self, key: str, version: int, peer: str) -> None:
+        """Fetch a document from a peer that goes by a newer version."""
+        if version > self._configuration.version(key):
+            self._fetches.want(DocumentDigest(key, version, b""), peer)
+
     def all_announcements(self, peer: str, joining: bool) -> list[Action]:
         """Return the answer to `AskDigests`."""
         batches = list(batched(self._configuration.digests(), ITEMS_PER_MESSAGE)) or [()]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,10 +2,12 @@
 
 import unittest
 
-from pollenroad.boundary import PeerReceived, StopRequested
+import msgspec
+
+from pollenroad.boundary import PeerReceived, SendPeer, StopRequested
 from pollenroad.directory import Vm, make_directory
 from pollenroad.joining import JOIN_WAIT_S
-from pollenroad.messages import DocumentCopy, Leaving
+from pollenroad.messages import Attempt, DocumentCopy, FetchDocuments, Leaving, Request
 from pollenroad.watching import WATCHERS_PER_DOMAIN
 from tests.relay_fleet import Fleet, service_bytes
 
@@ -40,6 +42,16 @@
         self.assert_in_force(fleet, 2, 3)
         self.assert_never_back(fleet)
 
+    def test_an_attempt_by_a_newer_document_makes_a_daemon_fetch_it_from_the_entry(self):
+        fleet = started(count=6)
+        entry = fleet.vms[1].address
+        relay = fleet.relay("vm-0")
+        attempt = Attempt("a", "r", KEY, "club", "lookup", True, 100.0, Request("GET", "/"))
+        newer = msgspec.structs.replace(attempt, config_version=2)
+        self.assertEqual((relay.is_behind(attempt), relay.is_behind(newer)), (False, True))
+        actions = relay.handle(PeerReceived(entry, newer), fleet.now)
+        self.assertIn(SendPeer(entry, FetchDocuments((KEY,))), actions)
+
     def test_dead_watchers_are_replaced(self):
         fleet = started()
         watchers = [n for n in fleet.vm_by_name if fleet.relay(n).is_watcher]
