--- a/src/pollenroad/retries.py
+++ b/src/pollenroad/retries.py
@@ -24,6 +24,9 @@
 ALLOWANCE_BELOW = 0.5
 """Part of a call's allowance that the calls below its first attempt get."""
 
+FULL_REASON = "overloaded"
+"""Refusal that is not retried where every endpoint is known to be full."""
+
 SERVER_REASONS = frozenset({"shed"})
 """Refusals by the server itself, which may have made calls of its own before."""
 
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/routing.py
@@ -45,6 +45,11 @@
 UNHEDGED_PATIENCE = 8.0
 """How much longer a straggler is left alone by hedges, retries and calls without hedges."""
 
+REPORTED_REASONS = frozenset(
+    {"overloaded", "busy", "deadline", "leaving", "out-of-service", "unreachable"}
+)
+"""Refusals whose cause the guard's report or the link tells; all others count as failures."""
+
 CLOSE_S = 0.001
 """Endpoints whose cost is within so many seconds of the least are equally good."""
 
@@ -168,16 +173,15 @@
         """Count an attempt handed to the endpoint `name`."""
         self._load_by_name[name].sent(attempt_id, self._latencies(class_name), now)
 
-    def ended(self, name: str, attempt_id: str, verdict: Verdict, now: float) -> None:
-        """Count an attempt that ended without a whole answer."""
+    def ended(self, name: str, attempt_id: str, verdict: Verdict, reason: str, now: float) -> None:
+        """Count an attempt that ended without a whole answer; `reason` is its reason code."""
         load = self._load_by_name.get(name)
         if load is None:
             return
-        match verdict:
-            case Verdict.NOT_RUN:
-                load.refused(attempt_id)
-            case _:
-                load.failed(attempt_id, now)
+        if verdict is Verdict.NOT_RUN and reason in REPORTED_REASONS:
+            load.refused(attempt_id)
+        else:
+            load.failed(attempt_id, now)
 
     def answered(
         self, name: str, attempt_id: str, class_name: str, latency_s: float, ok: bool, now: float
