Renew no permits at an owner that is passed over

The daemon would dial it, fail in that task, and keep its pending list for ever. Change: renew later. Test: fails before (peer '' among those sent to), passes after.

--- a/src/pollenroad/limits.py
+++ b/src/pollenroad/limits.py
@@ -320,7 +320,16 @@
                     self._replenish(lease, outcome, now)
             case "renew":
                 if share.used and not share.open_sequence:
-                    self._ask(lease, share, Demand(), outcome, now)
+                    self._renew(lease, share, outcome, now)
+
+    def _renew(
+        self, lease: CustomerLease, share: ShareLease, outcome: Outcome, now: float
+    ) -> None:
+        """Renew the permits of running calls, later if neither owner nor standby is reachable."""
+        if share.target(now):
+            self._ask(lease, share, Demand(), outcome, now)
+        else:
+            self._timers.set(("renew", lease.key, share.index), now + SUSPECT_S)
 
     def _give_up(self, call_id: str, outcome: Outcome, now: float) -> None:
         lease, _ = self._share_by_call.pop(call_id)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,7 +4,7 @@
 import unittest
 
 from pollenroad.bench import limits_compare as lc
-from pollenroad.boundary import AnswerCall, DocumentInForce, PeerReceived, Tick
+from pollenroad.boundary import AnswerCall, DocumentInForce, PeerReceived, SendPeer, Tick
 from pollenroad.entry import make_entry
 from pollenroad.limit_owner import make_limit_owner
 from pollenroad.limit_shares import (
@@ -237,3 +237,19 @@
         answers = [a for a in entry.handle(Tick(), 0.11) if isinstance(a, AnswerCall)]
         self.assertEqual([a.reason for a in answers], ["limit-concurrency"])
         self.assertIn("1 requests in flight", answers[0].detail)
+
+
+class LostOwnerTest(unittest.TestCase):
+    def test_permits_are_not_renewed_at_an_owner_that_is_passed_over(self):
+        entry = make_entry("e", "ub-0", random.Random(1))
+        workspace = make_workspace(5, owners=("10.0.0.1:7100",), name="tengerbulag")
+        entry.handle(DocumentInForce(make_document()), 0.0)
+        entry.handle(DocumentInForce(workspace), 0.0)
+        (ask,) = messages_in(entry.handle(make_call(1), 0.0), LimitRequest)
+        grant = LimitGrant("tengerbulag", "club", 0, ask.sequence, tokens=1, permits=1)
+        self.assertTrue(attempts_in(entry.handle(PeerReceived("10.0.0.1:7100", grant), 0.01)))
+        now, sent = 0.02, entry.handle(make_call(2), 0.02)
+        while now < PERMIT_LEASE_S and (due := entry.next_due()) is not None:
+            now = max(now, due)
+            sent += entry.handle(Tick(), now)
+        self.assertNotIn("", [action.peer for action in sent if isinstance(action, SendPeer)])
