--- a/src/pollenroad/commands/daemon.py
+++ b/src/pollenroad/commands/daemon.py
@@ -5,6 +5,7 @@
 import sys
 
 import gevent
+import msgspec
 from returns.result import Failure, Success
 
 from pollenroad.daemon import make_daemon
@@ -21,11 +22,12 @@
     gc.set_threshold(*GC_THRESHOLDS)
 
 
-def run(settings: str) -> int:
+def run(settings: str, *, record: str = "") -> int:
     """Run the daemon of one VM until SIGTERM; then finish what is in flight and exit.
 
     Args:
         settings: Path of the settings file, JSON; see docs/operators/install.md.
+        record: File to which a trace is recorded, in place of the settings' own `record`.
 
     Returns:
         0 after a graceful stop, 1 if the settings are refused.
@@ -35,6 +37,8 @@
             print(error, file=sys.stderr)
             return 1
         case Success(checked):
+            if record:
+                checked = msgspec.structs.replace(checked, record=record)
             configure_logs(checked.log_level, checked.vm)
             daemon = make_daemon(checked)
             gevent.signal_handler(signal.SIGTERM, daemon.stop)
--- a/src/pollenroad/commands/replay.py
+++ b/src/pollenroad/commands/replay.py
@@ -43,4 +43,5 @@
     if not traces:
         print("replay: no trace was named or found", file=sys.stderr)
         return 1
-    return 0 if all([_replay_one(trace) for trace in traces]) else 1
+    failed = [trace for trace in traces if not _replay_one(trace)]
+    return 1 if failed else 0
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -41,6 +41,7 @@
 from pollenroad.peers import Identity, Peers
 from pollenroad.platform import Platform
 from pollenroad.recent import RecentRecords
+from pollenroad.recording import make_recorder
 from pollenroad.relay import RelaySettings
 from pollenroad.settings import Settings
 from pollenroad.upstream import Upstream
@@ -66,9 +67,12 @@
         self._timer_wake = Flag()
         self._timer_due = float("inf")
         rng = random.Random(self.incarnation)
-        self.cores = make_cores(
-            self.incarnation, settings.service, self._relay_settings(), rng, time.monotonic()
-        )
+        relay_settings, start = self._relay_settings(), time.monotonic()
+        self.cores = make_cores(self.incarnation, settings.service, relay_settings, rng, start)
+        self._recorder = None
+        if settings.record:
+            path = settings.record
+            self._recorder = make_recorder(path, relay_settings, self.incarnation, start)
         self.calls = Calls(self.post, self._refusal)
         self.upstream = Upstream(settings.server, self.post)
         self.cost_meter = make_cost_meter()
@@ -130,7 +134,12 @@
 
     def _handle(self, event: Event) -> None:
         with self.cost_meter.handling(event):
-            for action in self.cores.handle(event, time.monotonic()):
+            now = time.monotonic()
+            if self._recorder:
+                self._recorder.event(event, now)
+            for action in self.cores.handle(event, now):
+                if self._recorder:
+                    self._recorder.action(action)
                 self._perform(action)
 
     def _perform(self, action: Action) -> None:
@@ -213,6 +222,8 @@
         self._call_server.stop(timeout=1)
         self.peers.stop()
         self._operator_server.stop(timeout=1)
+        if self._recorder:
+            self._recorder.close()
         log("daemon_stopped")
         self._ended.set()
 
--- a/src/pollenroad/recording.py
+++ b/src/pollenroad/recording.py
@@ -1,5 +1,6 @@
 """Recording of a trace by a running daemon: bounded, without bodies, headers or query strings."""
 
+import dataclasses
 from pathlib import Path
 
 import msgspec
@@ -27,7 +28,7 @@
     """Return an event without what callers and servers say: bodies, headers, query strings."""
     match event:
         case CallArrived():
-            return msgspec.structs.replace(event, request=_bare_request(event.request))
+            return dataclasses.replace(event, request=_bare_request(event.request))
         case PeerReceived(peer, Attempt() as attempt):
             bare = msgspec.structs.replace(attempt, request=_bare_request(attempt.request))
             return PeerReceived(peer, bare)
@@ -91,15 +92,12 @@
         self._file.write(line + b"\n")
 
 
-def make_recorder(
-    path: str, settings: RelaySettings, service: str, incarnation: str, start: float
-) -> Recorder:
+def make_recorder(path: str, settings: RelaySettings, incarnation: str, start: float) -> Recorder:
     """Make the recorder of one daemon.
 
     Args:
         path: File to write; it is replaced.
         settings: Who the daemon is.
-        service: Service of the server beside it.
         incarnation: Prefix of its attempt ids.
         start: Monotonic time at which its cores were made, in seconds.
 
@@ -112,7 +110,7 @@
         vm=settings.vm,
         address=settings.address,
         failure_domain=settings.failure_domain,
-        service=service,
+        service=settings.service,
         incarnation=incarnation,
         relay_incarnation=settings.incarnation,
         seeds=settings.seeds,
--- a/src/pollenroad/replaying.py
+++ b/src/pollenroad/replaying.py
@@ -146,6 +146,7 @@
             header.address,
             header.failure_domain,
             header.relay_incarnation,
+            header.service,
             header.seeds,
             header.fleet_hint,
             header.wall_offset_s,
--- a/src/pollenroad/settings.py
+++ b/src/pollenroad/settings.py
@@ -49,6 +49,8 @@
     fleet_hint: Annotated[int, Meta(ge=1, le=1_000_000)] = 11_000
     """Daemons that share the platform, at the most. Until a daemon knows its fleet, it bounds the
     rate at which it reads the platform by this."""
+    record: Annotated[str, Meta(max_length=4096)] = ""
+    """File to which a trace of this daemon is recorded, bounded; empty for none."""
     peer_key: Annotated[str, Meta(max_length=256)] = ""
     """Key that daemons share to authenticate each other; empty for none."""
 
--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -5,6 +5,7 @@
 import secrets
 import sys
 import time
+import traceback
 from collections import Counter
 from collections.abc import Iterator
 
@@ -31,7 +32,7 @@
         run = run_machine(next(machines), secrets.randbelow(2**31))
         yield run
         if run.error is not None:
-            print(f"BROKEN {run.error}\n  reproduce: {run.reproduction}", flush=True)
+            print(f"BROKEN {run.error!r}\n  reproduce: {run.reproduction}", flush=True)
 
 
 def _summary(runs: list[Run]) -> int:
@@ -66,7 +67,7 @@
     arguments = _arguments()
     if arguments.seed:
         run = run_machine(arguments.machine, arguments.seed, arguments.examples, shrink=True)
-        print(run.error or "nothing broken")
+        print("".join(traceback.format_exception(run.error)) if run.error else "nothing broken")
         return 1 if run.error else 0
     broken = _summary(list(_search(arguments.minutes)))
     missed = 0 if arguments.no_mutants else _mutants()
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -132,7 +132,9 @@
         others = tuple(address for other, address in ADDRESS_BY_VM.items() if other != vm)
         incarnation = 1_000_000 * (1 + int(self.now))
         domain = DOMAIN_BY_VM[vm] if self.platform else ELSEWHERE
-        settings = RelaySettings(vm, ADDRESS_BY_VM[vm], domain, incarnation, others, len(VMS))
+        settings = RelaySettings(
+            vm, ADDRESS_BY_VM[vm], domain, incarnation, SERVICE, others, len(VMS)
+        )
         name = f"{vm}-{node.starts}"
         node.cores = make_cores(name, SERVICE, settings, random.Random(name), self._clock(node))
         node.is_paused = node.is_stopping = node.is_configured = False
