Let probes of a server succeed

Cause, found by reading: a probe used a connection pool that had been taken out, so every probe failed in its task, and the guard took a sound but idle server as cold and held work off it. Change: a probe uses the kept connections, through the same exchange as an attempt. Test over a real socket: fails before, passes after.

--- a/src/pollenroad/upstream.py
+++ b/src/pollenroad/upstream.py
@@ -126,11 +126,12 @@
     def _probe(self, timeout_s: float) -> None:
         event = ServerProbed(succeeded=False)
         try:
-            answer = self._pool.urlopen("GET", PROBE_PATH, timeout=timeout_s, retries=False)
+            connection = self._connections.take()
+            answer = self._ask(connection, "GET", PROBE_PATH, None, {}, timeout_s)
             fields = tuple(answer.headers.items())
             incarnation = incarnation_of(Response(answer.status, fields))
             event = ServerProbed(answer.status == 200, incarnation)
-        except (HTTPError, OSError):
+        except (HTTPError, HTTPException, OSError):
             pass
         finally:
             self._post(event)
@@ -170,19 +171,33 @@
         self, connection: HTTPConnection, attempt: Attempt, timeout_s: float
     ) -> urllib3.HTTPResponse:
         request = attempt.request
+        fields = _request_headers(attempt, timeout_s)
+        body = request.body or None
+        return self._ask(connection, request.method, request.path, body, fields, timeout_s)
+
+    def _ask(
+        self,
+        connection: HTTPConnection,
+        method: str,
+        path: str,
+        body: bytes | None,
+        fields: dict[str, str],
+        timeout_s: float,
+    ) -> urllib3.HTTPResponse:
+        """Make one exchange; a connection whose exchange did not end whole is closed."""
         whole = False
         connection.sock.settimeout(timeout_s)
         try:
             connection.request(
-                request.method,
-                request.path,
-                body=request.body or None,
-                headers=_request_headers(attempt, timeout_s),
+                method,
+                path,
+                body=body,
+                headers=fields,
                 preload_content=True,
                 decode_content=False,
             )
             answer = connection.getresponse()
-            _check_framing(request.method, answer)
+            _check_framing(method, answer)
             whole = True
         finally:
             if not whole:
