--- a/src/pollenroad/limits.py
+++ b/src/pollenroad/limits.py
@@ -322,9 +322,7 @@
                 if share.used and not share.open_sequence:
                     self._renew(lease, share, outcome, now)
 
-    def _renew(
-        self, lease: CustomerLease, share: ShareLease, outcome: Outcome, now: float
-    ) -> None:
+    def _renew(self, lease: CustomerLease, share: ShareLease, outcome: Outcome, now: float) -> None:
         """Renew the permits of running calls, later if neither owner nor standby is reachable."""
         if share.target(now):
             self._ask(lease, share, Demand(), outcome, now)
