--- a/src/pollenroad/frames.py
+++ b/src/pollenroad/frames.py
@@ -32,7 +32,7 @@
     """
     try:
         return _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise PeerError(f"malformed message: {error}") from error
 
 
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -4,7 +4,7 @@
 added later needs a default, so that daemons of neighbouring versions understand each other.
 """
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta
@@ -15,6 +15,7 @@
 """Entries in one message about documents or VMs, at the most."""
 
 ShortText = Annotated[str, Meta(max_length=256)]
+RemainingMs = Annotated[float, Meta(ge=-600_000, le=600_000)]
 DocumentBytes = Annotated[bytes, Meta(max_length=1_048_576)]
 
 
@@ -69,7 +70,7 @@
     customer: str
     request_class: str
     idempotent: bool
-    remaining_ms: float
+    remaining_ms: RemainingMs
     """Time left until the deadline at the moment of sending, in milliseconds."""
     request: Request
     number: int = 1
@@ -88,7 +89,7 @@
     """How an attempt ended."""
 
     attempt_id: str
-    verdict: str
+    verdict: Literal["not-run", "ran", "unknown"]
     """Value of a `Verdict`."""
     reason: str = ""
     """Reason code where the verdict is not `ran`."""
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,66 @@
+"""What a peer's port decodes: only well-formed, bounded messages, whatever the bytes."""
+
+import io
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pollenroad.exceptions import PeerError
+from pollenroad.frames import MAX_FRAME_BYTES, decode_message, encode_frame, read_message
+from pollenroad.messages import Attempt, Message, Request
+
+ATTEMPT = Attempt("a-1", "q1", "races/registry", "club", "bind", False, 900.0, Request("GET", "/"))
+FRAME = encode_frame(ATTEMPT)
+FIELDS = msgspec.to_builtins(ATTEMPT) | {"type": "attempt"}
+RULES = settings(max_examples=300, derandomize=True, database=None, deadline=None)
+
+
+def decode(body: bytes) -> Message | None:
+    """Decode a body, or return None where it is refused as it should be."""
+    try:
+        return decode_message(body)
+    except PeerError:
+        return None
+
+
+class FramesTest(unittest.TestCase):
+    @RULES
+    @given(st.binary(max_size=300))
+    def test_any_bytes_are_a_message_or_refused(self, body):
+        self.assertIsInstance(decode(body), Message | None)
+
+    @RULES
+    @given(st.integers(0, len(FRAME) - 5), st.integers(0, 255))
+    def test_a_changed_byte_is_a_message_or_refused(self, index, value):
+        body = bytearray(FRAME[4:])
+        body[index] = value
+        self.assertIsInstance(decode(bytes(body)), Message | None)
+
+    def test_deep_nesting_is_refused(self):
+        body = b"\x82\xa4type\xa5hello\xa1x" + b"\x91" * 3000 + b"\x90"
+        self.assertIsNone(decode(body))
+
+    def test_values_that_no_daemon_sends_are_refused(self):
+        self.assertEqual(decode(msgspec.msgpack.encode(FIELDS)), ATTEMPT)
+        for changes in (
+            {"remaining_ms": float("nan")},
+            {"remaining_ms": float("inf")},
+            {"idempotent": 1},
+            {"type": "nothing"},
+        ):
+            with self.subTest(changes=changes):
+                self.assertIsNone(decode(msgspec.msgpack.encode(FIELDS | changes)))
+        answer = {"type": "answer", "attempt_id": "a-1", "verdict": "perhaps"}
+        self.assertIsNone(decode(msgspec.msgpack.encode(answer)))
+
+    def test_a_length_above_the_bound_is_refused_before_it_is_read(self):
+        stream = io.BytesIO((MAX_FRAME_BYTES + 1).to_bytes(4, "big") + b"x" * 100)
+        with self.assertRaises(PeerError):
+            read_message(stream)
+        self.assertEqual(stream.tell(), 4)
+
+    def test_a_frame_cut_short_is_the_end_of_the_stream(self):
+        self.assertIsNone(read_message(io.BytesIO(FRAME[:-1])))
+        self.assertEqual(read_message(io.BytesIO(FRAME)), ATTEMPT)
