--- a/src/pollenroad/commands/replay.py
+++ b/src/pollenroad/commands/replay.py
@@ -43,5 +43,5 @@
     if not traces:
         print("replay: no trace was named or found", file=sys.stderr)
         return 1
-    are_met = [_replay_one(trace) for trace in traces]
-    return 0 if all(are_met) else 1
+    failed = [trace for trace in traces if not _replay_one(trace)]
+    return 1 if failed else 0
--- a/tests/fuzz/machines.py
+++ b/tests/fuzz/machines.py
@@ -64,6 +64,8 @@
     failed_at = 0
     """Number of the example that failed first."""
     checks: Counter = Counter()
+    only = ""
+    """See `Oracle.only`."""
 
     def __init__(self):
         super().__init__()
@@ -80,6 +82,7 @@
     @initialize(seed=st.integers(0, 1000))
     def begin(self, seed):
         self.world = self.make_world(seed)
+        self.world.oracle.only = self.only
 
     def check_invariants(self, settings, output, runtimes):
         type(self).steps += 1
