--- a/src/pollenroad/commands/explain.py
+++ b/src/pollenroad/commands/explain.py
@@ -13,6 +13,11 @@
     "retry": "retry",
     "hedge": "second attempt beside a late one",
 }
+_CHOICES = {
+    "local": "expected to answer soonest, in the entry's failure domain",
+    "spill": "expected to answer soonest, in another failure domain",
+    "last": "the best of those left, though it takes no new work",
+}
 
 
 def _records(request_id: str, operators: Iterable[str]) -> tuple[list[dict], list[str]]:
@@ -30,7 +35,8 @@
 
 def _why(text: str) -> str:
     role, _, choice = text.partition(":")
-    return f"{_WHY.get(role, role)}; chosen as {choice}" if choice else _WHY.get(role, role)
+    parts = (_WHY.get(role, role), _CHOICES.get(choice, choice))
+    return "; ".join(part for part in parts if part)
 
 
 def _sentence(record: dict) -> str:
@@ -50,9 +56,11 @@
             return f"the guard refused the attempt, which did not run: {fields['reason']}"
         case "call_answered":
             reason = f", {fields['reason']}" if fields["reason"] else ""
+            count = fields["attempts"]
+            attempts = "1 attempt" if count == 1 else f"{count} attempts"
             return (
-                f"the caller was answered after {fields['ms']:g} ms and "
-                f"{fields['attempts']} attempts: {fields['verdict']}{reason}"
+                f"the caller was answered after {fields['ms']:g} ms and {attempts}: "
+                f"{fields['verdict']}{reason}"
             )
     rest = ", ".join(f"{name}={value}" for name, value in fields.items() if name != "request_id")
     return f"{record['event']}: {rest}"
--- a/src/pollenroad/limit_lease.py
+++ b/src/pollenroad/limit_lease.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from dataclasses import dataclass
 
 from pollenroad.limit_shares import LEASE_S, PERMIT_LEASE_S, ShareOwners
 from pollenroad.messages import LimitGrant
@@ -25,6 +26,18 @@
 NEVER = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What an entry asks an owner for."""
+
+    calls: int = 0
+    """Calls that wait, each of which needs a permit."""
+    tokens: int = 0
+    """Tokens that they need."""
+    ahead: int = 0
+    """Calls that are expected."""
+
+
 class ShareLease:
     """Tokens and permits from the owner of one share."""
 
--- a/src/pollenroad/limits.py
+++ b/src/pollenroad/limits.py
@@ -6,10 +6,8 @@
 a short time for a grant and is refused otherwise. No I/O: see `pollenroad.boundary`.
 """
 
-from dataclasses import dataclass
-
 from pollenroad.boundary import SendPeer
-from pollenroad.limit_lease import CROWD, CustomerLease, ShareLease
+from pollenroad.limit_lease import CROWD, CustomerLease, Demand, ShareLease
 from pollenroad.limit_refusals import Outcome, refuse_call, refuse_customer
 from pollenroad.limit_shares import (
     PERMIT_LEASE_S,
@@ -64,18 +62,6 @@
 """Workspace and customer."""
 
 
-@dataclass(frozen=True, slots=True)
-class Demand:
-    """What an entry asks an owner for."""
-
-    calls: int = 0
-    """Calls that wait, each of which needs a permit."""
-    tokens: int = 0
-    """Tokens that they need."""
-    ahead: int = 0
-    """Calls that are expected."""
-
-
 class Limits:
     """Leases of one entry, by customer."""
 
