--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -1,4 +1,4 @@
-"""The exchange with a server, over a real socket on an ephemeral port."""
+"""Probes of a server, over a real socket on an ephemeral port."""
 
 import threading
 import unittest
