--- a/tests/fuzz/running.py
+++ b/tests/fuzz/running.py
@@ -10,11 +10,13 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from .machines import MACHINE_BY_NAME
+from .fleet_machine import FleetMachine
+from .machines import CallMachine
 from .mutants import MUTANTS, Mutant
 from .oracle import BrokenPromiseError
 
 STEPS_PER_EXAMPLE = 40
+MACHINE_BY_NAME = {"calls": CallMachine, "fleet": FleetMachine}
 BUDGET_BY_MACHINE = {"calls": 300, "fleet": 100}
 """Examples of one ordinary run."""
 
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -22,7 +22,6 @@
     MembershipChanged,
     PeerLost,
     PeerReceived,
-    PlatformFailed,
     ProbeServer,
     ReadDocument,
     RunAtServer,
@@ -49,11 +48,11 @@
 )
 from .nodes import Letter, Node, tell
 from .oracle import BrokenPromiseError, Oracle
+from .readers import Readers
 from .servers import FakeServer
 
 HOP_S = 0.001
 DIAL_S = 0.5
-READ_S = 0.005
 LETTER_WAIT_S = 0.05
 ELSEWHERE = "elsewhere"
 """Failure domain of entries without relays, so that they use every endpoint alike."""
@@ -82,7 +81,7 @@
         }
         self._order = itertools.count()
         self._later: list = []
-        self._watching: dict[str, tuple[int, WatchPlatform, float]] = {}
+        self._readers = Readers(self, platform)
         self._calls = itertools.count(1)
         self.entry_by_call: dict[str, str] = {}
 
@@ -114,7 +113,7 @@
         node.inbox.clear()
         node.wanted_attempts.clear()
         node.server.connections_closed()
-        self._watching.pop(vm, None)
+        self._readers.forget(vm)
         for call_id in [c for c, entry in self.entry_by_call.items() if entry == vm]:
             del self.entry_by_call[call_id]
             self.oracle.caller_gone(call_id)
@@ -209,7 +208,7 @@
     def _next_time(self) -> float:
         times = [letter.due for letter in self.bag if not self._is_cut(letter)]
         times += [self._later[0][0]] if self._later else []
-        times += [until for _, _, until in self._watching.values()]
+        times += self._readers.ends()
         for node in self.node_by_vm.values():
             if node.is_alive and not node.is_paused:
                 due = self._next_tick(node)
@@ -257,7 +256,7 @@
                 due = self._next_tick(node)
                 if due is not None and due <= self._clock(node) + 1e-9:
                     self._handle(node, Tick(), max(self._clock(node), due))
-        self._serve_watches()
+        self._readers.serve()
         self._end_drained()
 
     # --- Events and actions ---
@@ -314,7 +313,7 @@
             case DocumentInForce() | MembershipChanged():
                 self._tell_oracle(node, action)
             case ReadDocument() | ListDocuments() | ListVms() | WatchPlatform():
-                self._read_platform(node, action)
+                self._readers.read(node, action)
 
     def _cancel(self, node: Node, attempt_id: str) -> None:
         deadline = node.wanted_attempts.pop(attempt_id, None)
@@ -322,28 +321,6 @@
         self.oracle.cut_off(node.vm, attempt_id, is_wanted)
         node.server.cancel(attempt_id)
 
-    # --- The platform ---
-
-    def _read_platform(self, node: Node, request) -> None:
-        if self.platform.down:
-            self.post_later(READ_S, node.vm, PlatformFailed(request, "down"))
-        elif isinstance(request, WatchPlatform):
-            self._watching[node.vm] = (node.starts, request, self.now + request.timeout_s)
-        else:
-            self.post_later(READ_S, node.vm, self.platform.answer(request))
-
-    def _serve_watches(self) -> None:
-        for vm, (starts, request, until) in list(self._watching.items()):
-            if self.platform.down:
-                event = PlatformFailed(request, "down")
-            elif self.platform.view()[0] > request.after or self.now >= until:
-                event = self.platform.answer(request)
-            else:
-                continue
-            del self._watching[vm]
-            if self.node_by_vm[vm].starts == starts:
-                self.post_later(READ_S, vm, event)
-
     # --- Callers ---
 
     def call(self, vm: str, request_class: str, deadline_ms: float = 0.0) -> None:
