--- a/src/pollenroad/limits.py
+++ b/src/pollenroad/limits.py
@@ -6,10 +6,8 @@
 a short time for a grant and is refused otherwise. No I/O: see `pollenroad.boundary`.
 """
 
-from dataclasses import dataclass
-
 from pollenroad.boundary import SendPeer
-from pollenroad.limit_lease import CROWD, CustomerLease, ShareLease
+from pollenroad.limit_lease import CROWD, CustomerLease, Demand, ShareLease
 from pollenroad.limit_refusals import Outcome, refuse_call, refuse_customer
 from pollenroad.limit_shares import (
     PERMIT_LEASE_S,
@@ -28,9 +26,12 @@
 """Time by which an owner's last chance to grant precedes the end of the wait, in seconds."""
 
 HORIZON_S = 0.1
-"""Expected traffic that an entry asks for ahead, in seconds."""
+"""Expected traffic that an entry asks for ahead at the least, in seconds."""
+
+AHEAD_SHARE = 0.7
+"""Part of a lease's life for which an entry asks ahead, so that few tokens expire."""
 
-LOW_WATER = 0.5
+LOW_WATER = 0.25
 """Part of the expected traffic that, when left, triggers the next request."""
 
 ASK_GAP_S = 0.02
@@ -48,7 +49,7 @@
 SUSPECT_S = 0.5
 """Time for which an unreachable owner is passed over, in seconds."""
 
-SETTLE_S = 0.1
+SETTLE_S = 0.5
 """Time after the last call of a customer until unused permits are returned, in seconds."""
 
 IDLE_S = 10.0
@@ -61,18 +62,6 @@
 """Workspace and customer."""
 
 
-@dataclass(frozen=True, slots=True)
-class Demand:
-    """What an entry asks an owner for."""
-
-    calls: int = 0
-    """Calls that wait, each of which needs a permit."""
-    tokens: int = 0
-    """Tokens that they need."""
-    ahead: int = 0
-    """Calls that are expected."""
-
-
 class Limits:
     """Leases of one entry, by customer."""
 
@@ -207,7 +196,8 @@
 
     def _demand(self, lease: CustomerLease, now: float) -> Demand:
         tokens, asked = lease.tokens(now), lease.asked(now)
-        expected = lease.rate_per_s(now) * HORIZON_S
+        horizon_s = max(HORIZON_S, lease.ahead_lease_s() * AHEAD_SHARE)
+        expected = lease.rate_per_s(now) * horizon_s
         ahead = 0
         if tokens + asked < expected * LOW_WATER:
             ahead = round(expected - tokens)
@@ -320,7 +310,14 @@
                     self._replenish(lease, outcome, now)
             case "renew":
                 if share.used and not share.open_sequence:
-                    self._ask(lease, share, Demand(), outcome, now)
+                    self._renew(lease, share, outcome, now)
+
+    def _renew(self, lease: CustomerLease, share: ShareLease, outcome: Outcome, now: float) -> None:
+        """Renew the permits of running calls, later if neither owner nor standby is reachable."""
+        if share.target(now):
+            self._ask(lease, share, Demand(), outcome, now)
+        else:
+            self._timers.set(("renew", lease.key, share.index), now + SUSPECT_S)
 
     def _give_up(self, call_id: str, outcome: Outcome, now: float) -> None:
         lease, _ = self._share_by_call.pop(call_id)
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -4,7 +4,7 @@
 added later needs a default, so that daemons of neighbouring versions understand each other.
 """
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta
@@ -15,6 +15,7 @@
 """Entries in one message about documents or VMs, at the most."""
 
 ShortText = Annotated[str, Meta(max_length=256)]
+RemainingMs = Annotated[float, Meta(ge=-600_000, le=600_000)]
 DocumentBytes = Annotated[bytes, Meta(max_length=1_048_576)]
 
 
@@ -69,7 +70,7 @@
     customer: str
     request_class: str
     idempotent: bool
-    remaining_ms: float
+    remaining_ms: RemainingMs
     """Time left until the deadline at the moment of sending, in milliseconds."""
     request: Request
     number: int = 1
@@ -88,7 +89,7 @@
     """How an attempt ended."""
 
     attempt_id: str
-    verdict: str
+    verdict: Literal["not-run", "ran", "unknown"]
     """Value of a `Verdict`."""
     reason: str = ""
     """Reason code where the verdict is not `ran`."""
@@ -137,6 +138,7 @@
     "contended": "x",
     "retry_after_ms": "r",
     "waited_ms": "v",
+    "ahead_lease_ms": "l",
     "refusal": "f",
 }
 """Field names on the wire of the limit messages, which are sent several times a second."""
@@ -172,6 +174,10 @@
     share: int
     sequence: int
     tokens: int = 0
+    tokens_ahead: int = 0
+    """Further tokens, with a lease of their own."""
+    ahead_lease_ms: float = 0.0
+    """Life of such tokens; entries ask ahead for less than that, also where none are granted."""
     permits: int = 0
     """Permits that the entry holds from now on."""
     contended: bool = False
--- a/tests/fuzz/running.py
+++ b/tests/fuzz/running.py
@@ -10,11 +10,13 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from .machines import MACHINE_BY_NAME
+from .fleet_machine import FleetMachine
+from .machines import CallMachine
 from .mutants import MUTANTS, Mutant
 from .oracle import BrokenPromiseError
 
 STEPS_PER_EXAMPLE = 40
+MACHINE_BY_NAME = {"calls": CallMachine, "fleet": FleetMachine}
 BUDGET_BY_MACHINE = {"calls": 300, "fleet": 100}
 """Examples of one ordinary run."""
 
@@ -51,7 +53,9 @@
         )
 
 
-def run_machine(name: str, number: int, examples: int = 0, shrink: bool = False) -> Run:
+def run_machine(
+    name: str, number: int, examples: int = 0, shrink: bool = False, only: str = ""
+) -> Run:
     """Run one machine with a seed; the same seed gives the same examples.
 
     Args:
@@ -59,11 +63,13 @@
         number: The seed.
         examples: Examples to run; 0 for the ordinary budget.
         shrink: Whether a failure is made small, and its steps printed.
+        only: The promise whose breach ends the run; empty for every one.
     """
     run = Run(name, number)
     machine = type(name, (MACHINE_BY_NAME[name],), {"examples": 0, "steps": 0})
     machine.checks = run.checks
     machine.failed_at = 0
+    machine.only = only
     seed(number)(machine)
     rules = settings(
         max_examples=examples or BUDGET_BY_MACHINE[name],
@@ -90,9 +96,9 @@
 
 
 def hunt(mutant: Mutant, number: int) -> Run:
-    """Run the mutant's machine with its ordinary budget."""
+    """Run the mutant's machine with its ordinary budget, until its own promise is broken."""
     with mutant.applied():
-        return run_machine(mutant.machine, number)
+        return run_machine(mutant.machine, number, only=mutant.invariant)
 
 
 def mutant_table(number: int) -> Iterator[tuple[str, bool]]:
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -7,7 +7,6 @@
 import heapq
 import itertools
 import random
-from dataclasses import dataclass, field
 
 from pollenroad.boundary import (
     Action,
@@ -23,20 +22,16 @@
     MembershipChanged,
     PeerLost,
     PeerReceived,
-    PlatformFailed,
     ProbeServer,
     ReadDocument,
     RunAtServer,
     SendPeer,
-    ServerAnswered,
-    ServerFailed,
-    ServerProbed,
     StopRequested,
     Tick,
     WatchPlatform,
 )
-from pollenroad.cores import Cores, make_cores
-from pollenroad.messages import Attempt, CancelAttempt, LoadReport, Request
+from pollenroad.cores import make_cores
+from pollenroad.messages import Attempt, LoadReport, Request
 from pollenroad.models import ServiceDocument
 from pollenroad.relay import RelaySettings
 
@@ -50,14 +45,14 @@
     SLOTS,
     VM_BY_ADDRESS,
     VMS,
-    out_vms_of,
 )
+from .nodes import Letter, Node, tell
 from .oracle import BrokenPromiseError, Oracle
+from .readers import Readers
 from .servers import FakeServer
 
 HOP_S = 0.001
 DIAL_S = 0.5
-READ_S = 0.005
 LETTER_WAIT_S = 0.05
 ELSEWHERE = "elsewhere"
 """Failure domain of entries without relays, so that they use every endpoint alike."""
@@ -65,38 +60,6 @@
 IDEMPOTENT_BY_CLASS = {c.name: c.idempotent for c in CLASSES}
 
 
-@dataclass
-class Letter:
-    """A message under way."""
-
-    source: str
-    target: str
-    message: object
-    due: float
-
-
-@dataclass
-class Node:
-    """One VM: its daemon's cores, as long as the process lives, and its server."""
-
-    vm: str
-    clock_offset: float
-    server: FakeServer
-    cores: Cores | None = None
-    is_paused: bool = False
-    is_stopping: bool = False
-    starts: int = 0
-    inbox: list[Event] = field(default_factory=list)
-    wanted_attempts: dict[str, float] = field(default_factory=dict)
-    """Deadline of each attempt at the server that no entry has cancelled."""
-    seen_incarnation: str = ""
-    is_configured: bool = False
-
-    @property
-    def is_alive(self) -> bool:
-        return self.cores is not None
-
-
 class World:
     """Four daemons and their surroundings.
 
@@ -118,7 +81,7 @@
         }
         self._order = itertools.count()
         self._later: list = []
-        self._watching: dict[str, tuple[int, WatchPlatform, float]] = {}
+        self._readers = Readers(self, platform)
         self._calls = itertools.count(1)
         self.entry_by_call: dict[str, str] = {}
 
@@ -150,7 +113,7 @@
         node.inbox.clear()
         node.wanted_attempts.clear()
         node.server.connections_closed()
-        self._watching.pop(vm, None)
+        self._readers.forget(vm)
         for call_id in [c for c, entry in self.entry_by_call.items() if entry == vm]:
             del self.entry_by_call[call_id]
             self.oracle.caller_gone(call_id)
@@ -245,7 +208,7 @@
     def _next_time(self) -> float:
         times = [letter.due for letter in self.bag if not self._is_cut(letter)]
         times += [self._later[0][0]] if self._later else []
-        times += [until for _, _, until in self._watching.values()]
+        times += self._readers.ends()
         for node in self.node_by_vm.values():
             if node.is_alive and not node.is_paused:
                 due = self._next_tick(node)
@@ -293,7 +256,7 @@
                 due = self._next_tick(node)
                 if due is not None and due <= self._clock(node) + 1e-9:
                     self._handle(node, Tick(), max(self._clock(node), due))
-        self._serve_watches()
+        self._readers.serve()
         self._end_drained()
 
     # --- Events and actions ---
@@ -321,46 +284,11 @@
             yield from role.handle(event, now)
 
     def _tell_oracle(self, node: Node, event: Event) -> None:
-        told = self.oracle.told_by_vm[node.vm]
         match event:
-            case StopRequested():
-                told.is_stopping = True
-                told.leaving_vms |= {node.vm}
-            case MembershipChanged(leaving, dead):
-                own = {node.vm} if told.is_stopping else set()
-                told.leaving_vms = leaving | dead - {node.vm} | own
             case DocumentInForce(ServiceDocument() as document):
-                self._tell_document(node, document)
-            case PeerReceived(_, CancelAttempt(attempt_id)):
-                node.wanted_attempts.pop(attempt_id, None)
-            case ServerFailed(attempt_id, _, reason) if attempt_id in node.wanted_attempts:
-                del node.wanted_attempts[attempt_id]
-                if reason in ("server-unreachable", "server-ProtocolError"):
-                    self._tell_cold(node)
-            case ServerAnswered(attempt_id, response):
-                node.wanted_attempts.pop(attempt_id, None)
-                self._tell_incarnation(node, dict(response.headers)["X-Server-Incarnation"])
-            case ServerProbed(succeeded, incarnation, draining):
-                self._tell_incarnation(node, incarnation)
-                if not succeeded and not draining:
-                    self._tell_cold(node)
-
-    def _tell_document(self, node: Node, document: ServiceDocument) -> None:
-        told = self.oracle.told_by_vm[node.vm]
-        is_published = self.platform is None or document in self.published
-        self.oracle.in_force(node.vm, document.version, is_published)
-        told.out_vms = out_vms_of(document)
-        if not node.is_configured:
-            node.is_configured = True
-            self._tell_cold(node)
-
-    def _tell_cold(self, node: Node) -> None:
-        self.oracle.told_by_vm[node.vm].cold_until = self.now + COLD_START.cold_s
-
-    def _tell_incarnation(self, node: Node, incarnation: str) -> None:
-        if incarnation and node.seen_incarnation not in ("", incarnation):
-            self._tell_cold(node)
-        node.seen_incarnation = incarnation or node.seen_incarnation
+                is_published = self.platform is None or document in self.published
+                self.oracle.in_force(node.vm, document.version, is_published)
+        tell(self.oracle.told_by_vm[node.vm], node, event, self.now)
 
     def server_started(self, server: FakeServer, attempt: Attempt) -> None:
         idempotent = IDEMPOTENT_BY_CLASS[attempt.request_class]
@@ -385,7 +313,7 @@
             case DocumentInForce() | MembershipChanged():
                 self._tell_oracle(node, action)
             case ReadDocument() | ListDocuments() | ListVms() | WatchPlatform():
-                self._read_platform(node, action)
+                self._readers.read(node, action)
 
     def _cancel(self, node: Node, attempt_id: str) -> None:
         deadline = node.wanted_attempts.pop(attempt_id, None)
@@ -393,28 +321,6 @@
         self.oracle.cut_off(node.vm, attempt_id, is_wanted)
         node.server.cancel(attempt_id)
 
-    # --- The platform ---
-
-    def _read_platform(self, node: Node, request) -> None:
-        if self.platform.down:
-            self.post_later(READ_S, node.vm, PlatformFailed(request, "down"))
-        elif isinstance(request, WatchPlatform):
-            self._watching[node.vm] = (node.starts, request, self.now + request.timeout_s)
-        else:
-            self.post_later(READ_S, node.vm, self.platform.answer(request))
-
-    def _serve_watches(self) -> None:
-        for vm, (starts, request, until) in list(self._watching.items()):
-            if self.platform.down:
-                event = PlatformFailed(request, "down")
-            elif self.platform.view()[0] > request.after or self.now >= until:
-                event = self.platform.answer(request)
-            else:
-                continue
-            del self._watching[vm]
-            if self.node_by_vm[vm].starts == starts:
-                self.post_later(READ_S, vm, event)
-
     # --- Callers ---
 
     def call(self, vm: str, request_class: str, deadline_ms: float = 0.0) -> None:
