Fuzz warm servers that restart; a mutant that ignores the signs of a cold server

Cause: a mutant that ignores every sign of a cold server was not found in 313 examples: guards were cold nearly all the time, so signs changed nothing.

--- a/tests/fuzz/documents.py
+++ b/tests/fuzz/documents.py
@@ -22,7 +22,7 @@
 ADDRESS_BY_VM = {vm: f"10.0.0.{number}:7100" for number, vm in enumerate(VMS, 1)}
 VM_BY_ADDRESS = {address: vm for vm, address in ADDRESS_BY_VM.items()}
 SLOTS = 4
-COLD_START = ColdStart(bound=1, cold_s=2.0, ramp_s=2.0)
+COLD_START = ColdStart(bound=1, cold_s=1.0, ramp_s=0.5)
 MESSAGES_PER_S = 8.0
 CLASSES = (
     RequestClass(name="lookup", idempotent=True, hedge=True, deadline_ms=800),
--- a/tests/fuzz/machines.py
+++ b/tests/fuzz/machines.py
@@ -153,6 +153,23 @@
         self.world.advance(0.005)
         self.world.stop(vm)
 
+    @rule(rounds=st.integers(4, 8))
+    def warm_up(self, rounds):
+        """Serve steadily for a while, so that servers are no longer treated as cold."""
+        for _ in range(rounds):
+            for vm in VMS:
+                self.call(vm, "lookup", 2, False)
+            self.world.advance(0.3)
+
+    @rule(vm=VM, name=CLASS)
+    def restart_server_under_load(self, vm, name):
+        for _ in range(2):
+            for entry in VMS:
+                self.call(entry, name, 3, False)
+            self.world.advance(0.005)
+            self.change_server(vm, "restart")
+            self.world.advance(0.005)
+
     def start(self, vm: str) -> None:
         self.world.start(vm)
 
--- a/tests/fuzz/mutants.py
+++ b/tests/fuzz/mutants.py
@@ -9,6 +9,7 @@
 from unittest.mock import patch
 
 from pollenroad.boundary import CancelAtServer, StopRequested
+from pollenroad.capacity import Capacity
 from pollenroad.closing import LEAVING as LEAVING_VM
 from pollenroad.closing import OUT_OF_SERVICE, Closing
 from pollenroad.coldstart import ColdStart
@@ -52,6 +53,10 @@
 _reason = Closing.reason
 
 
+def _ignore_signs(self, reason, now):
+    return reason
+
+
 @property
 def _forget_out_of_service(self):
     reason = _reason.fget(self)
@@ -68,7 +73,8 @@
 
 
 def _take_any_answer(self, answer, now):
-    if answer.attempt_id not in self._attempt_by_id and self._attempt_by_id:
+    is_late = answer.attempt_id not in self._attempt_by_id
+    if is_late and answer.verdict == Verdict.RAN.value and self._attempt_by_id:
         attempt_id = next(iter(self._attempt_by_id))
         answer = type(answer)(attempt_id, answer.verdict, answer.reason, answer.response)
     yield from _on_answer(self, answer, now)
@@ -112,6 +118,7 @@
 MUTANTS = (
     Mutant("spend without limit", MEASURING, "calls", RateLimit, "allows", _spend_without_limit),
     Mutant("no cold bound", COLD, "calls", ColdStart, "bound", _cold_server_bears_all),
+    Mutant("guard ignores signs", COLD, "calls", Capacity, "turn_cold", _ignore_signs),
     Mutant("guard ignores domains", OUT, "calls", Closing, "reason", _forget_out_of_service),
     Mutant("entry takes any answer", OWN, "calls", Entry, "_on_answer", _take_any_answer),
     Mutant("unknown told as not run", REFUSED, "calls", Entry, "_finish", _tell_not_run),
--- a/tests/fuzz/nodes.py
+++ b/tests/fuzz/nodes.py
@@ -12,6 +12,7 @@
     ServerProbed,
     StopRequested,
 )
+from pollenroad.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.cores import Cores
 from pollenroad.messages import CancelAttempt
 from pollenroad.models import ServiceDocument
@@ -20,7 +21,7 @@
 from .oracle import Told
 from .servers import FakeServer
 
-COLD_REASONS = ("server-unreachable", "server-ProtocolError")
+COLD_REASONS = (SERVER_UNREACHABLE, SERVER_RESET)
 """Failures that are a sign of a server that restarted."""
 
 
--- a/tests/fuzz/servers.py
+++ b/tests/fuzz/servers.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from pollenroad.boundary import ServerAnswered, ServerFailed, ServerProbed, ServerShed
+from pollenroad.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.messages import Attempt, Response
 
 from .oracle import whole_answer
@@ -48,7 +49,7 @@
 
     def _refusal(self, attempt_id: str):
         if not self.is_up:
-            return ServerFailed(attempt_id, reached=False, reason="server-unreachable")
+            return ServerFailed(attempt_id, reached=False, reason=SERVER_UNREACHABLE)
         if self.mode in ("shed", "draining"):
             return ServerShed(attempt_id, self.mode == "draining")
         return None
@@ -100,7 +101,7 @@
         self.is_up = False
         for attempt_id in list(self.running_by_attempt):
             del self.running_by_attempt[attempt_id]
-            self.world.post(self.vm, ServerFailed(attempt_id, True, "server-ProtocolError"))
+            self.world.post(self.vm, ServerFailed(attempt_id, True, SERVER_RESET))
 
     def restart(self) -> None:
         """Come up again, cold and with another incarnation."""
