Keep the documents of limits in one place

Cause: entry and owner of a customer's limit each kept workspaces, services and possible owners by the same ten lines. Change: LimitDocuments, used by both. No change of behaviour; the tests of limits and entry pass.

--- a/src/pollenroad/limit_owner.py
+++ b/src/pollenroad/limit_owner.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from pollenroad.boundary import Action, DocumentInForce, Event, PeerReceived, SendPeer, Tick
+from pollenroad.limit_documents import LimitDocuments
 from pollenroad.limit_shares import (
     LEASE_S,
     LONGEST_LEASE_S,
@@ -19,15 +20,13 @@
     STANDBY_RATIO,
     TokenBucket,
     ahead_tokens,
-    choose_owners,
     limit_of,
-    owner_candidates,
     share_burst,
     share_concurrency,
     standby_burst,
 )
 from pollenroad.messages import LimitGrant, LimitRequest, LimitReturn
-from pollenroad.models import ServiceDocument, WorkspaceDocument
+from pollenroad.models import Document
 
 SERVE_GAP_S = 0.05
 """Shortest time between two rounds that serve waiting requests, in seconds."""
@@ -85,9 +84,7 @@
     def __init__(self, address: str, now: float):
         self._address = address
         self._started = now
-        self._workspace_by_name: dict[str, WorkspaceDocument] = {}
-        self._service_by_key: dict[str, ServiceDocument] = {}
-        self._candidates_by_workspace: dict[str, dict[str, str]] = {}
+        self._documents = LimitDocuments()
         self._share_by_key: dict[ShareKey, _Share] = {}
         self._waiting_keys: set[ShareKey] = set()
         self._next_sweep = now + IDLE_S
@@ -114,17 +111,9 @@
 
     # --- Configuration ---
 
-    def _on_document(self, document, now: float) -> None:
-        match document:
-            case WorkspaceDocument():
-                self._workspace_by_name[document.workspace] = document
-            case ServiceDocument():
-                self._service_by_key[document.key] = document
-        workspace = self._workspace_by_name.get(document.workspace)
-        if workspace is None:
+    def _on_document(self, document: Document, now: float) -> None:
+        if self._documents.configure(document) is None:
             return
-        services = self._service_by_key.values()
-        self._candidates_by_workspace[document.workspace] = owner_candidates(workspace, services)
         for key in [key for key in self._share_by_key if key[0] == document.workspace]:
             self._resize(key, now)
 
@@ -144,11 +133,11 @@
     def _make_share(self, key: ShareKey, now: float) -> _Share | None:
         """Return a new share for `key`, or None if this daemon hands out no part of it."""
         workspace, customer, index = key
-        document = self._workspace_by_name.get(workspace)
+        document = self._documents.workspace(workspace)
         if document is None:
             return None
         limit = limit_of(document, customer)
-        owners = choose_owners(workspace, limit, self._candidates_by_workspace[workspace])
+        owners = self._documents.owners(workspace, limit)
         if index >= len(owners) or self._address not in (
             owners[index].primary,
             owners[index].standby,
--- a/src/pollenroad/limits.py
+++ b/src/pollenroad/limits.py
@@ -7,16 +7,15 @@
 """
 
 from pollenroad.boundary import SendPeer
+from pollenroad.limit_documents import LimitDocuments
 from pollenroad.limit_lease import CROWD, CustomerLease, Demand, ShareLease
 from pollenroad.limit_refusals import Outcome, refuse_call, refuse_customer
 from pollenroad.limit_shares import (
     PERMIT_LEASE_S,
-    choose_owners,
     limit_of,
-    owner_candidates,
 )
 from pollenroad.messages import LimitGrant, LimitRequest, LimitReturn
-from pollenroad.models import CustomerLimit, Document, ServiceDocument, WorkspaceDocument
+from pollenroad.models import Document, WorkspaceDocument
 from pollenroad.timers import Timers
 
 WAIT_S = 0.1
@@ -66,9 +65,7 @@
     """Leases of one entry, by customer."""
 
     def __init__(self):
-        self._workspace_by_name: dict[str, WorkspaceDocument] = {}
-        self._service_by_key: dict[str, ServiceDocument] = {}
-        self._candidates_by_workspace: dict[str, dict[str, str]] = {}
+        self._documents = LimitDocuments()
         self._lease_by_key: dict[LeaseKey, CustomerLease] = {}
         self._share_by_call: dict[str, tuple[CustomerLease, ShareLease | None]] = {}
         self._timers = Timers()
@@ -82,24 +79,13 @@
 
     def configure(self, document: Document, now: float) -> None:
         """Take a newer document; leases of shares that keep their owner are kept."""
-        match document:
-            case WorkspaceDocument():
-                self._workspace_by_name[document.workspace] = document
-            case ServiceDocument():
-                self._service_by_key[document.key] = document
-        workspace = self._workspace_by_name.get(document.workspace)
+        workspace = self._documents.configure(document)
         if workspace is None:
             return
-        services = self._service_by_key.values()
-        self._candidates_by_workspace[document.workspace] = owner_candidates(workspace, services)
         for key, lease in self._lease_by_key.items():
             if key[0] == document.workspace:
                 limit = limit_of(workspace, key[1])
-                lease.configure(limit, self._owners(workspace, limit))
-
-    def _owners(self, workspace: WorkspaceDocument, limit: CustomerLimit) -> tuple:
-        candidates = self._candidates_by_workspace[workspace.workspace]
-        return choose_owners(workspace.workspace, limit, candidates)
+                lease.configure(limit, self._documents.owners(document.workspace, limit))
 
     def _lease(self, document: WorkspaceDocument, customer: str, now: float) -> CustomerLease:
         key = (document.workspace, customer)
@@ -107,7 +93,7 @@
         if lease is None:
             limit = limit_of(document, customer)
             lease = CustomerLease(document.workspace, limit, now)
-            lease.configure(limit, self._owners(document, limit))
+            lease.configure(limit, self._documents.owners(document.workspace, limit))
             self._lease_by_key[key] = lease
             self._timers.set(("idle", key), now + IDLE_S)
         return lease
@@ -126,7 +112,7 @@
             deadline: When the caller stops waiting, in monotonic seconds.
             now: Monotonic time in seconds.
         """
-        document = self._workspace_by_name.get(workspace)
+        document = self._documents.workspace(workspace)
         if document is None:
             return Outcome(admitted=[call_id])
         known = (workspace, customer) in self._lease_by_key
