Name the arguments of RelaySettings; give the failure-domain bench its line by second

Cause: the settings of a relay were passed by position, which broke two callers when one was added; the report's line plot wanted a key that the bench did not give.

--- a/src/pollenroad/bench/failure_domain.py
+++ b/src/pollenroad/bench/failure_domain.py
@@ -158,6 +158,10 @@
             "whole": round(whole, 5),
             "worst_second": round(ratio_by_second[worst_second], 5),
         },
+        "worth_served_by_second": {
+            str(round(second - times.begin)): round(ratio, 5)
+            for second, ratio in ratio_by_second.items()
+        },
         "new_work_after_out_s": round(new_work_s, 3),
         "cut_off": cut_off,
         "run_twice": twice,
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -96,14 +96,14 @@
     def _relay_settings(self) -> RelaySettings:
         settings = self.settings
         return RelaySettings(
-            settings.vm,
-            settings.peer_address,
-            settings.failure_domain,
-            int(time.time() * 1000),
-            settings.service,
-            settings.seeds,
-            settings.fleet_hint,
-            time.time() - time.monotonic(),
+            vm=settings.vm,
+            address=settings.peer_address,
+            failure_domain=settings.failure_domain,
+            incarnation=int(time.time() * 1000),
+            service=settings.service,
+            seeds=settings.seeds,
+            fleet_hint=settings.fleet_hint,
+            wall_offset_s=time.time() - time.monotonic(),
         )
 
     @property
--- a/src/pollenroad/replaying.py
+++ b/src/pollenroad/replaying.py
@@ -142,14 +142,14 @@
         self._header = header
         self._now = header.start
         settings = RelaySettings(
-            header.vm,
-            header.address,
-            header.failure_domain,
-            header.relay_incarnation,
-            header.service,
-            header.seeds,
-            header.fleet_hint,
-            header.wall_offset_s,
+            vm=header.vm,
+            address=header.address,
+            failure_domain=header.failure_domain,
+            incarnation=header.relay_incarnation,
+            service=header.service,
+            seeds=header.seeds,
+            fleet_hint=header.fleet_hint,
+            wall_offset_s=header.wall_offset_s,
         )
         rng = random.Random(header.incarnation)
         self._cores = make_cores(header.incarnation, header.service, settings, rng, header.start)
