Fuzzing: never call an attempt unsent of which a copy is under way

The suspected cause is the world: it doubled an attempt, let one copy through, and then told the entry that the attempt had never been sent, which no socket does. Change: a copied letter is never reported as unsent when its link breaks.

--- a/tests/fuzz/machines.py
+++ b/tests/fuzz/machines.py
@@ -111,6 +111,7 @@
             case "drop":
                 bag.remove(letter)
             case "copy":
+                letter.is_copied = True
                 bag.append(replace(letter, due=letter.due + seconds))
             case "delay":
                 letter.due += seconds
--- a/tests/fuzz/nodes.py
+++ b/tests/fuzz/nodes.py
@@ -33,6 +33,8 @@
     target: str
     message: object
     due: float
+    is_copied: bool = False
+    """Whether a copy of it exists, so that it cannot be said that it was never sent."""
 
 
 @dataclass
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -163,7 +163,8 @@
             letters = [x for x in self.bag if (x.source, x.target) == (source, target)]
             for letter in () if keeps_sent else letters:
                 self.bag.remove(letter)
-                if isinstance(letter.message, Attempt) and self.rng.random() < 0.5:
+                may_be_unsent = isinstance(letter.message, Attempt) and not letter.is_copied
+                if may_be_unsent and self.rng.random() < 0.5:
                     self.post_later(HOP_S, source, AttemptUnsent(letter.message.attempt_id))
             self.post_later(HOP_S, source, PeerLost(ADDRESS_BY_VM[target]))
 
