See the end of an idle server by a connection that carries nothing

Cause: a server that restarted while no request was at it gave no sign, so the first burst could pass its cold bound (a gap listed by the proof). Ruled out: taking each closed idle connection as a restart (a keep-alive timeout of some seconds would make quiet services cold again and again); learning the timeout (a restart at that age is missed). Change: the sentinel connects again at once when the server closes; refused means that the process ended, and the guard takes the server as cold. Before: the fuzzing exempted idle restarts.

--- a/src/pollenroad/boundary.py
+++ b/src/pollenroad/boundary.py
@@ -105,6 +105,11 @@
     draining: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLost:
+    """The server ended, as seen without a request: it closed connections and accepts none."""
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentInForce:
     """A newer valid document came into force."""
@@ -193,6 +198,7 @@
     | ServerFailed
     | ServerShed
     | ServerProbed
+    | ServerLost
     | DocumentInForce
     | StopRequested
     | DocumentRead
@@ -332,6 +338,7 @@
     "SendPeer",
     "ServerAnswered",
     "ServerFailed",
+    "ServerLost",
     "ServerProbed",
     "ServerShed",
     "StopRequested",
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -43,6 +43,7 @@
 from pollenroad.recent import RecentRecords
 from pollenroad.recording import make_recorder
 from pollenroad.relay import RelaySettings
+from pollenroad.sentinel import Sentinel
 from pollenroad.settings import Settings
 from pollenroad.upstream import Upstream
 
@@ -75,6 +76,7 @@
             self._recorder = make_recorder(path, relay_settings, self.incarnation, start)
         self.calls = Calls(self.post, self._refusal)
         self.upstream = Upstream(settings.server, self.post)
+        self._sentinel = Sentinel(settings.server, self.post)
         self.cost_meter = make_cost_meter()
         self.metrics = make_metrics(self)
         self.peers = Peers(self._identity(), self.post, self.cores.relay.is_member, self.cost_meter)
@@ -199,6 +201,7 @@
         self._call_server.start()
         self._operator_server.start()
         gevent.spawn(self._run_timer)
+        self._sentinel.start()
         self.post(Tick())
         log("daemon_started", call_address=self.settings.call_address)
 
@@ -221,6 +224,7 @@
         gevent.sleep(LEAVING_NOTICE_S)
         self._call_server.stop(timeout=1)
         self.peers.stop()
+        self._sentinel.stop()
         self._operator_server.stop(timeout=1)
         if self._recorder:
             self._recorder.close()
--- a/src/pollenroad/guard.py
+++ b/src/pollenroad/guard.py
@@ -20,6 +20,7 @@
     SendPeer,
     ServerAnswered,
     ServerFailed,
+    ServerLost,
     ServerProbed,
     ServerShed,
     StopRequested,
@@ -27,6 +28,7 @@
 )
 from pollenroad.capacity import Capacity, incarnation_of
 from pollenroad.closing import LEAVING, NOT_HERE, Closing
+from pollenroad.coldstart import SERVER_UNREACHABLE
 from pollenroad.guardrecords import GuardRecords
 from pollenroad.guardstate import GuardView
 from pollenroad.handover import HandOverAges, SeenAttempts
@@ -135,6 +137,8 @@
                 return self._on_shed(attempt_id, draining, now)
             case ServerProbed():
                 return self._on_probed(event, now)
+            case ServerLost() if self._capacity is not None:
+                return self._records.fell_cold(self._capacity.failed(SERVER_UNREACHABLE, now))
             case DocumentInForce(ServiceDocument() as document):
                 return self._on_document(document, now)
             case MembershipChanged(leaving):
--- a/tests/fuzz/nodes.py
+++ b/tests/fuzz/nodes.py
@@ -9,6 +9,7 @@
     PeerReceived,
     ServerAnswered,
     ServerFailed,
+    ServerLost,
     ServerProbed,
     StopRequested,
 )
@@ -82,6 +83,8 @@
         case ServerAnswered(attempt_id, response):
             node.wanted_attempts.pop(attempt_id, None)
             _tell_incarnation(told, node, dict(response.headers)["X-Server-Incarnation"], now)
+        case ServerLost():
+            told.cold_until = now + COLD_START.cold_s
         case ServerProbed(succeeded, incarnation, draining):
             _tell_incarnation(told, node, incarnation, now)
             if not succeeded and not draining:
--- a/tests/fuzz/servers.py
+++ b/tests/fuzz/servers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from pollenroad.boundary import ServerAnswered, ServerFailed, ServerProbed, ServerShed
+from pollenroad.boundary import ServerAnswered, ServerFailed, ServerLost, ServerProbed, ServerShed
 from pollenroad.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.messages import Attempt, Response
 
@@ -102,6 +102,7 @@
         for attempt_id in list(self.running_by_attempt):
             del self.running_by_attempt[attempt_id]
             self.world.post(self.vm, ServerFailed(attempt_id, True, SERVER_RESET))
+        self.world.post(self.vm, ServerLost())
 
     def restart(self) -> None:
         """Come up again, cold and with another incarnation."""
