Take an answer without a verdict as unknown, unless it refuses a malformed request

Cause, found by reading: an entry that fails inside a call answers 500 without a verdict, and the callers' library took that as 'not run', so that it could have sent a non-idempotent request a second time; and such a call stayed open, which held up a planned stop to its limit. Change: only 400, 404, 413 and 414 without a verdict mean not run; a call whose task ends is closed.

--- a/src/pollenroad/client.py
+++ b/src/pollenroad/client.py
@@ -24,6 +24,9 @@
 """Time for which an entry that failed is tried last, in seconds."""
 ANSWER_SLACK_S = 0.25
 """Time beyond the deadline for the entry's own verdict to arrive, in seconds."""
+REFUSED_STATUSES = frozenset({400, 404, 413, 414})
+"""Statuses with which an entry refuses a request before it becomes a call, without a verdict."""
+
 RETRIED_REASONS = frozenset({"leaving", "starting", "no-entry"})
 """Refusals by an entry that another entry need not share."""
 
@@ -72,6 +75,14 @@
     request_id: str
 
 
+def _verdict_of(answer: urllib3.BaseHTTPResponse, default: Verdict | None) -> Verdict:
+    stated = answer.headers.get(headers.VERDICT)
+    if stated:
+        return Verdict(stated)
+    refused = answer.status in REFUSED_STATUSES
+    return default or (Verdict.NOT_RUN if refused else Verdict.UNKNOWN)
+
+
 def reply_from(
     answer: urllib3.BaseHTTPResponse, request_id: str, default: Verdict | None = None
 ) -> Reply:
@@ -80,13 +91,12 @@
     Args:
         answer: The whole HTTP answer.
         request_id: Id of the request, where the answer names none.
-        default: Verdict where the answer states none; by default not run, since an entry states it
-            for every call that it took.
+        default: Verdict where the answer states none; by default not run for a status by which an
+            entry refuses a malformed request, and unknown for any other.
     """
     fields = answer.headers
-    stated = fields.get(headers.VERDICT)
     return Reply(
-        verdict=Verdict(stated) if stated else default or Verdict.NOT_RUN,
+        verdict=_verdict_of(answer, default),
         status=answer.status,
         headers=fields,
         body=answer.data,
--- a/src/pollenroad/http.py
+++ b/src/pollenroad/http.py
@@ -163,6 +163,7 @@
             self._post(call)
             return result.get()
         finally:
+            self._result_by_call.pop(call.call_id, None)
             watcher.stop()
             watcher.close()
 
