Apply the settings of idle timeout and header limit; drop messages to a malformed address

Cause, found by reading: idle_timeout_s and max_header_bytes were checked and documented but used nowhere, so an idle connection was kept for ever; a peer address that cannot be split left its pending messages behind. Change: the callers' HTTP server applies both; the dialling task reports such messages as unsent. Two tests fail before and pass after.

--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -82,7 +82,13 @@
         self.peers = Peers(self._identity(), self.post, self.cores.relay.is_member, self.cost_meter)
         self.platform = Platform(settings.platform)
         app = make_call_app(self.calls)
-        self._call_server = make_call_server(settings.call_address, app, settings.max_connections)
+        self._call_server = make_call_server(
+            settings.call_address,
+            app,
+            settings.max_connections,
+            settings.idle_timeout_s,
+            settings.max_header_bytes,
+        )
         self._operator_server = make_operator_server(self)
 
     def _identity(self) -> Identity:
--- a/src/pollenroad/header_block.py
+++ b/src/pollenroad/header_block.py
@@ -60,9 +60,13 @@
         return name.lower() in self._values_by_name
 
 
-def read_header_block(stream) -> HeaderBlock:
+def read_header_block(stream, max_bytes: int = MAX_HEADER_BYTES) -> HeaderBlock:
     """Read the fields of a request up to the empty line.
 
+    Args:
+        stream: The caller's connection, as a buffered binary stream.
+        max_bytes: Longest block to accept.
+
     Raises:
         ValueError: If a line is malformed or folded, the framing is ambiguous, or the block is too
             large.
@@ -70,10 +74,10 @@
     block = HeaderBlock()
     size = 0
     count = 0
-    while (line := stream.readline(MAX_HEADER_BYTES + 1)) not in (b"\r\n", b"\n"):
+    while (line := stream.readline(max_bytes + 1)) not in (b"\r\n", b"\n"):
         size += len(line)
         count += 1
-        if size > MAX_HEADER_BYTES or count > MAX_HEADERS:
+        if size > max_bytes or count > MAX_HEADERS:
             raise ValueError("the header block is too large")
         name, colon, value = line.decode("latin-1").partition(":")
         if not colon or not line.endswith(b"\n") or not _FIELD_NAME.fullmatch(name):
--- a/src/pollenroad/http.py
+++ b/src/pollenroad/http.py
@@ -12,7 +12,7 @@
 from pollenroad import headers
 from pollenroad.addresses import split_address
 from pollenroad.boundary import AnswerCall, CallAbandoned, CallArrived, Event
-from pollenroad.header_block import read_header_block
+from pollenroad.header_block import MAX_HEADER_BYTES, read_header_block
 from pollenroad.messages import Request, Response
 from pollenroad.peers import set_no_delay
 from pollenroad.verdicts import Verdict
@@ -36,10 +36,11 @@
 
     def MessageClass(self, stream, _seekable):  # noqa: N802 (pywsgi's name)
         """Read the header block of a request."""
-        return read_header_block(stream)
+        return read_header_block(stream, getattr(self.server, "max_header_bytes", MAX_HEADER_BYTES))
 
     def __init__(self, sock, address, server, rfile=None):
         set_no_delay(sock)
+        sock.settimeout(getattr(server, "idle_timeout_s", None))
         self._held_back: bytearray | None = None
         super().__init__(sock, address, server, rfile)
 
@@ -262,9 +263,23 @@
     return app
 
 
-def make_call_server(address: str, app: bottle.Bottle, max_connections: int) -> WSGIServer:
+class CallServer(WSGIServer):
+    """The HTTP server of callers, with the limits that its handlers apply."""
+
+    idle_timeout_s = 60.0
+    """A connection on which a read or write makes no progress for this long is closed."""
+    max_header_bytes = MAX_HEADER_BYTES
+
+
+def make_call_server(
+    address: str,
+    app: bottle.Bottle,
+    max_connections: int,
+    idle_timeout_s: float = CallServer.idle_timeout_s,
+    max_header_bytes: int = MAX_HEADER_BYTES,
+) -> CallServer:
     """Make the HTTP server of callers on `address`, not yet started."""
-    return WSGIServer(
+    server = CallServer(
         split_address(address),
         app,
         handler_class=CallHandler,
@@ -273,3 +288,6 @@
         error_log=None,
         backlog=1024,
     )
+    server.idle_timeout_s = idle_timeout_s
+    server.max_header_bytes = max_header_bytes
+    return server
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -248,7 +248,7 @@
     def _dial(self, peer: str) -> None:
         try:
             link = self._connect(peer)
-        except (OSError, PeerError, gevent.Timeout) as error:
+        except (OSError, PeerError, ValueError, gevent.Timeout) as error:
             log("peer_lost", peer=peer, reason=str(error))
             self._report_unsent(self._pending_by_peer.pop(peer))
             return
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -123,6 +123,15 @@
         self.assertEqual(status, 413)
         self.assertEqual(self.events, [])
 
+    def test_an_idle_connection_is_closed_after_the_stated_time(self):
+        self.server.idle_timeout_s = 0.05
+        self.assertEqual(self.connect().recv(1), b"")
+
+    def test_headers_above_the_stated_limit_get_400(self):
+        self.server.max_header_bytes = 1024
+        status, _, _ = self.request(headers=f"X-Long: {'x' * 1024}\r\n")
+        self.assertEqual((status, self.events), (400, []))
+
     def test_a_refusal_names_verdict_reason_and_when_to_come_back(self):
         self.reply = lambda call: AnswerCall(
             call.call_id, Verdict.NOT_RUN, "limit-rate", retry_after_ms=300, detail="5 a second"
