Fuzzing: hand whole calls over twice, so that a guard without memory is found soon

Change: a rule that hands over every attempt under way a second time, during or after its first run.

--- a/tests/fuzz/machines.py
+++ b/tests/fuzz/machines.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from pollenroad.boundary import DocumentInForce, MembershipChanged, PeerReceived
-from pollenroad.messages import LoadReport
+from pollenroad.messages import Attempt, LoadReport
 
 from .documents import (
     ADDRESS_BY_VM,
@@ -118,6 +118,16 @@
             case "now":
                 self.world.deliver(letter)
 
+    @rule(vm=VM, name=CLASS, seconds=st.sampled_from((0.0, 0.01, 0.05)))
+    def hand_over_twice(self, vm, name, seconds):
+        """Make calls whose attempts all come a second time, during or after the first run."""
+        self.call(vm, name, 2, False)
+        attempts = [x for x in self.world.bag if isinstance(x.message, Attempt)]
+        for letter in attempts:
+            letter.is_copied = True
+            self.world.bag.append(replace(letter, due=letter.due + seconds))
+        self.world.advance(0.1)
+
     @rule(one=VM, other=VM, keeps_sent=st.booleans())
     def break_link(self, one, other, keeps_sent):
         if one != other:
