--- a/src/pollenroad/guard.py
+++ b/src/pollenroad/guard.py
@@ -33,14 +33,7 @@
 from pollenroad.guardstate import GuardView
 from pollenroad.handover import HandOverAges, SeenAttempts
 from pollenroad.measuring import MeasuringShare
-from pollenroad.messages import (
-    Attempt,
-    AttemptAnswer,
-    CancelAttempt,
-    Leaving,
-    LoadReport,
-    Response,
-)
+from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, Leaving, LoadReport, Response
 from pollenroad.models import RequestClass, ServiceDocument
 from pollenroad.reporting import Reporting
 from pollenroad.timers import Timers
