--- a/src/pollenroad/atserver.py
+++ b/src/pollenroad/atserver.py
@@ -39,6 +39,10 @@
         """Return an attempt at the server, or None."""
         return self._running_by_id.get(attempt_id)
 
+    def items(self) -> list[tuple[str, Running]]:
+        """Return the attempts at the server by id, as of now."""
+        return list(self._running_by_id.items())
+
     def end(self, attempt_id: str, now: float) -> Running:
         """Count an attempt as ended."""
         running = self._running_by_id.pop(attempt_id)
--- a/src/pollenroad/bench/peer_link.py
+++ b/src/pollenroad/bench/peer_link.py
@@ -44,7 +44,7 @@
     from gevent.server import StreamServer
 
     from pollenroad.frames import encode_frame, read_message
-    from pollenroad.peers import set_no_delay
+    from pollenroad.sockets import set_no_delay
 
     def serve(sock, _remote) -> None:
         set_no_delay(sock)
@@ -100,7 +100,7 @@
     from gevent.event import AsyncResult
 
     from pollenroad.frames import encode_frame, read_message
-    from pollenroad.peers import set_no_delay
+    from pollenroad.sockets import set_no_delay
 
     sock = gevent.socket.create_connection(split_address(address))
     set_no_delay(sock)
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/daemon.py
@@ -7,7 +7,6 @@
 import random
 import secrets
 import time
-from collections import deque
 
 import gevent
 from gevent.event import Event as Flag
@@ -33,6 +32,7 @@
 )
 from pollenroad.control_cost import make_cost_meter
 from pollenroad.cores import make_cores
+from pollenroad.driver import Driver
 from pollenroad.http import Calls, make_call_app, make_call_server
 from pollenroad.logs import LOGGER, log
 from pollenroad.metrics import make_metrics
@@ -63,10 +63,8 @@
         self.recent = RecentRecords(settings.recent_records)
         self.stopping = False
         self._ended = Flag()
-        self._inbox: deque[Event] = deque()
-        self._draining_inbox = False
-        self._timer_wake = Flag()
-        self._timer_due = float("inf")
+        self._driver = Driver(self._handle, lambda: self.cores.next_due())
+        self.post = self._driver.post
         rng = random.Random(self.incarnation)
         relay_settings, start = self._relay_settings(), time.monotonic()
         self.cores = make_cores(self.incarnation, settings.service, relay_settings, rng, start)
@@ -127,19 +125,6 @@
 
     # --- Events and actions ---
 
-    def post(self, event: Event) -> None:
-        """Hand an event to the cores and carry out what they decide."""
-        self._inbox.append(event)
-        if self._draining_inbox:
-            return
-        self._draining_inbox = True
-        try:
-            while self._inbox:
-                self._handle(self._inbox.popleft())
-        finally:
-            self._draining_inbox = False
-        self._schedule_tick()
-
     def _handle(self, event: Event) -> None:
         with self.cost_meter.handling(event):
             now = time.monotonic()
@@ -174,26 +159,6 @@
                 self.metrics.record(name, fields)
                 log(name, **dict(fields))
 
-    def _schedule_tick(self) -> None:
-        due = self._next_due()
-        if due < self._timer_due:
-            self._timer_wake.set()
-
-    def _next_due(self) -> float:
-        due = self.cores.next_due()
-        return float("inf") if due is None else due
-
-    def _run_timer(self) -> None:
-        while True:
-            self._timer_wake.clear()
-            self._timer_due = self._next_due()
-            wait_s = self._timer_due - time.monotonic()
-            if wait_s > 0:
-                self._timer_wake.wait(None if wait_s == float("inf") else wait_s)
-            if time.monotonic() >= self._timer_due:
-                self._timer_due = float("inf")
-                self.post(Tick())
-
     # --- Platform ---
 
     def _read_platform(self, request: PlatformRequest) -> None:
@@ -206,7 +171,7 @@
         self.peers.start()
         self._call_server.start()
         self._operator_server.start()
-        gevent.spawn(self._run_timer)
+        gevent.spawn(self._driver.run_timer)
         self._sentinel.start()
         self.post(Tick())
         log("daemon_started", call_address=self.settings.call_address)
--- a/src/pollenroad/exceptions.py
+++ b/src/pollenroad/exceptions.py
@@ -33,6 +33,18 @@
     """The platform could not be read."""
 
 
+class ExchangeError(PollenroadError):
+    """An HTTP exchange had no whole answer.
+
+    Attributes:
+        reached: Whether the server may have had the request.
+    """
+
+    def __init__(self, reason: str, reached: bool):
+        self.reached = reached
+        super().__init__(reason)
+
+
 class CallError(PollenroadError):
     """A call had no whole answer.
 
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -57,6 +57,8 @@
     """Recent median time of a request at the server, in milliseconds."""
     sequence: int = 0
     """Grows with each report of this guard, so that an older one is recognised."""
+    slowdown: float = 1.0
+    """Time that work takes at the server now, as a multiple of the usual one."""
 
 
 class Attempt(Message, tag="attempt"):
@@ -83,6 +85,14 @@
     sent_ms: float = 0.0
     """Monotonic clock of the entry at sending, in milliseconds; 0 if not stated. The guard compares
     it with other attempts of the same entry only."""
+    incarnation: str = ""
+    """Incarnation of the server that the attempt is for; empty for whichever runs there."""
+    caller: str = ""
+    """Service on the VM where the request began."""
+    objective_ms: float = 0.0
+    """Time left until the latency objective, in milliseconds; 0 if it has none or is late."""
+    priority: int = 0
+    """Rank under overload; 0 is the highest."""
 
 
 class AttemptAnswer(Message, tag="answer"):
@@ -96,6 +106,8 @@
     response: Response | None = None
     load: LoadReport | None = None
     retry_after_ms: float = 0.0
+    reached_server: bool = False
+    """Whether the server has had the request, also where it refused to run it."""
 
 
 class CancelAttempt(Message, tag="cancel"):
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/peers.py
@@ -5,9 +5,7 @@
 unknown fate (`PeerLost`).
 """
 
-import hashlib
-import hmac
-import secrets
+import os
 import socket
 import time
 from collections import deque
@@ -35,12 +33,14 @@
     PeerMessage,
     RelayMessage,
 )
+from pollenroad.sockets import set_liveness_options
 
 DIAL_TIMEOUT_S = 0.5
 HELLO_TIMEOUT_S = 2.0
 HELLO_MAX_BYTES = 4096
-UNACKNOWLEDGED_MS = 5_000
-"""Time for which sent bytes may stay unacknowledged before a link is closed, in milliseconds."""
+
+NONCE_BYTES = 16
+"""Length of a challenge in bytes."""
 MAX_OUTBOX_BYTES = 33_554_432
 """Bytes waiting for one peer, above which its link is closed."""
 MAX_DIRECT_BYTES = 65_536
@@ -59,25 +59,21 @@
     key: str = ""
 
 
-def set_no_delay(sock) -> None:
-    """Send small frames at once instead of waiting for the acknowledgement of earlier ones."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-
-def set_link_options(sock) -> None:
-    """Send small frames at once, and close a link whose other end no longer acknowledges.
+def _proof(key: str, nonce: str, address: str) -> str:
+    if not key:
+        return ""
+    # Imported here because the hash library costs a daemon without keys 4 MB of memory.
+    import hmac
 
-    Without the latter a link to a VM that lost its power stays open for minutes, and what is sent
-    to the VM's next daemon waits on it.
-    """
-    set_no_delay(sock)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    return hmac.digest(key.encode(), f"{nonce} {address}".encode(), "sha256").hex()
 
 
-def _proof(key: str, nonce: str, address: str) -> str:
+def _is_proven(proof: str, key: str, nonce: str, address: str) -> bool:
     if not key:
-        return ""
-    return hmac.new(key.encode(), f"{nonce} {address}".encode(), hashlib.sha256).hexdigest()
+        return not proof
+    import hmac
+
+    return hmac.compare_digest(proof, _proof(key, nonce, address))
 
 
 class _Link:
@@ -183,6 +179,7 @@
         post: Takes events for the cores.
         is_member: Tells whether a peer address belongs to a known daemon.
         meter: Counts what messages cost.
+        on_entry_lost: Takes the peer whose dialled link to this daemon broke.
     """
 
     def __init__(
@@ -191,7 +188,9 @@
         post: Callable[[Event], None],
         is_member: Callable[[str], bool],
         meter: CostMeter | None = None,
+        on_entry_lost: Callable[[str], None] = lambda peer: None,
     ):
+        self._on_entry_lost = on_entry_lost
         self._meter = meter or make_cost_meter()
         self._identity = identity
         self._post = post
@@ -268,7 +267,7 @@
                 if not isinstance(challenge, Hello):
                     raise PeerError("no hello")
                 sock.settimeout(None)
-                set_link_options(sock)
+                set_liveness_options(sock)
                 sock.sendall(encode_frame(self._hello(challenge.incarnation)))
         except BaseException:
             sock.close()
@@ -298,7 +297,7 @@
         if len(self._accepted_by_peer) >= MAX_INBOUND_LINKS:
             sock.close()
             return
-        set_link_options(sock)
+        set_liveness_options(sock)
         stream = sock.makefile("rb")
         try:
             hello = self._authenticate(sock, stream, remote[0])
@@ -311,7 +310,7 @@
         link.read(lambda message: self._post(PeerReceived(hello.address, message)))
 
     def _authenticate(self, sock, stream, remote_host: str) -> Hello:
-        nonce = secrets.token_hex(16)
+        nonce = os.urandom(NONCE_BYTES).hex()
         me = self._identity
         challenge = Hello(PROTOCOL_VERSION, me.vm, me.address, nonce, me.failure_domain)
         with gevent.Timeout(HELLO_TIMEOUT_S):
@@ -321,7 +320,7 @@
             raise PeerError("no hello")
         if host_of(hello.address) != remote_host:
             raise PeerError(f"hello names {hello.address}, connection is from {remote_host}")
-        if not hmac.compare_digest(hello.proof, _proof(me.key, nonce, hello.address)):
+        if not _is_proven(hello.proof, me.key, nonce, hello.address):
             raise PeerError("proof does not match the shared key")
         if not self._is_member(hello.address):
             raise PeerError(f"{hello.address} is not a known member")
@@ -330,3 +329,4 @@
     def _on_accepted_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._accepted_by_peer.get(link.peer) is link:
             del self._accepted_by_peer[link.peer]
+            self._on_entry_lost(link.peer)
--- /dev/null
+++ b/src/pollenroad/proxy/callers.py
@@ -0,0 +1,371 @@
+"""The side towards callers: HTTP/1.1 with pipelined requests that run at the same time.
+
+Each connection has a task that reads and one that writes. Answers go out in the order of their
+requests. A connection is closed only behind its last answer, because a caller takes requests that
+follow a closing answer as not read.
+"""
+
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+import h11
+from gevent.event import Event as Flag
+from gevent.server import StreamServer
+from gevent.socket import wait_read
+
+from pollenroad.addresses import split_address
+from pollenroad.boundary import AnswerCall, CallAbandoned
+from pollenroad.headers import end_to_end
+from pollenroad.logs import log
+from pollenroad.messages import Request
+from pollenroad.proxy.boundary import Event, RequestArrived
+from pollenroad.proxy.dialect import Dialect
+from pollenroad.proxy.http1 import READ_BYTES
+from pollenroad.proxy.models import CallerLimits
+from pollenroad.sockets import set_no_delay
+from pollenroad.verdicts import Verdict
+
+MAX_PIPELINED = 64
+"""Requests of one connection without an answer, above which no more is read from it."""
+
+BACKLOG = 1024
+"""Connections that wait to be accepted."""
+
+LINGER_S = 0.5
+"""Time in which what crosses a close is read, in seconds: a close with unread bytes would reset the
+connection, and the caller could lose the last answer."""
+
+WRITE_TIMEOUT_S = 10.0
+"""Time for a caller to take an answer, in seconds."""
+
+DEFAULT_DEADLINE_S = 60.0
+"""Deadline of a request that states none, in seconds."""
+
+STATUS_BY_REASON = {
+    "no-route": 404,
+    "body-too-large": 413,
+    "malformed": 400,
+    "header-timeout": 408,
+}
+"""Status of a refusal by reason; 503 for others."""
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A request of a connection, and its answer once there is one."""
+
+    call_id: str
+    connection: h11.Connection
+    request_id: str
+    answer: AnswerCall | None = None
+
+
+@dataclass(slots=True)
+class PartialRequest:
+    """A request that has not arrived whole yet."""
+
+    connection: h11.Connection
+    head: h11.Request | None = None
+    body: list[bytes] = field(default_factory=list)
+    size: int = 0
+    has_bytes: bool = False
+
+
+def status_of(answer: AnswerCall) -> int:
+    """Return the HTTP status of an answer that carries no server's response."""
+    if answer.verdict is Verdict.NOT_RUN:
+        return STATUS_BY_REASON.get(answer.reason, 503)
+    return 504 if answer.reason in ("timeout", "deadline") else 502
+
+
+class Callers:
+    """Open connections and requests of callers.
+
+    Args:
+        dialect: Names of header fields.
+        post: Takes events for the cores.
+    """
+
+    def __init__(self, dialect: Dialect, post: Callable[[Event], None]):
+        self.dialect = dialect
+        self.post = post
+        self.limits = CallerLimits()
+        self.is_closing = False
+        """Whether connections are closed behind their last answer."""
+        self.is_refusing = False
+        """Whether new requests are refused because the daemon is about to end."""
+        self._count = 0
+        self._connection_by_call: dict[str, _Connection] = {}
+
+    @property
+    def open_requests(self) -> int:
+        """Requests whose answer has not been handed to the network."""
+        return len(self._connection_by_call)
+
+    def serve(self, sock, _remote) -> None:
+        """Serve one connection until it ends."""
+        _Connection(self, sock).run()
+
+    def answer(self, answer: AnswerCall) -> None:
+        """Hand an answer to the connection that waits for it."""
+        connection = self._connection_by_call.get(answer.call_id)
+        if connection is not None:
+            connection.take(answer)
+
+    def open(self, connection: "_Connection") -> str:
+        """Return the id of a new request of a connection."""
+        self._count += 1
+        call_id = str(self._count)
+        self._connection_by_call[call_id] = connection
+        return call_id
+
+    def done(self, call_id: str) -> None:
+        """Forget a request that was answered or abandoned."""
+        self._connection_by_call.pop(call_id, None)
+
+
+class _Connection:
+    """One connection of a caller."""
+
+    def __init__(self, callers: Callers, sock):
+        self._callers = callers
+        self._sock = sock
+        self._exchanges: deque[Exchange] = deque()
+        self._wake = Flag()
+        self._is_over = False
+        self._may_read = Flag()
+        self._may_read.set()
+
+    # --- Reading ---
+
+    def run(self) -> None:
+        """Read requests until the caller or this side ends the connection."""
+        set_no_delay(self._sock)
+        writer = gevent.spawn(self._write)
+        try:
+            self._read_requests()
+        except (OSError, gevent.Timeout) as error:
+            log("caller_lost", reason=f"{type(error).__name__}: {error}", open=len(self._exchanges))
+        finally:
+            self._is_over = True
+            self._abandon()
+            self._wake.set()
+            writer.join()
+            self._sock.close()
+
+    def _read_requests(self) -> None:
+        rest = b""
+        while not self._is_over:
+            partial = PartialRequest(self._new_parser())
+            if rest:
+                partial.connection.receive_data(rest)
+                partial.has_bytes = True
+            try:
+                is_whole = self._read_request(partial)
+            except h11.RemoteProtocolError as error:
+                self._refuse(partial, "malformed", str(error))
+                return
+            if not is_whole or self._is_over:
+                return
+            rest = partial.connection.trailing_data[0]
+            self._begin(partial)
+            if len(self._exchanges) >= MAX_PIPELINED:
+                self._may_read.clear()
+            self._may_read.wait()
+
+    def _new_parser(self) -> h11.Connection:
+        limit = self._callers.limits.max_header_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+
+    def _read_request(self, partial: PartialRequest) -> bool:
+        """Read until a request is whole; return False if the connection is not to be read on."""
+        while True:
+            match partial.connection.next_event():
+                case h11.NEED_DATA:
+                    if partial.connection.they_are_waiting_for_100_continue:
+                        go_on = h11.InformationalResponse(status_code=100, headers=[])
+                        self._sock.sendall(partial.connection.send(go_on))
+                    data = self._receive(partial)
+                    if data is None:
+                        return False
+                    partial.connection.receive_data(data)
+                case h11.Request() as head:
+                    partial.head = head
+                    if not self._is_acceptable(partial):
+                        return False
+                case h11.Data(data=data):
+                    partial.body.append(bytes(data))
+                    partial.size += len(data)
+                    if partial.size > self._callers.limits.max_body_bytes:
+                        self._refuse(partial, "body-too-large", f"over {partial.size} bytes")
+                        return False
+                case h11.EndOfMessage():
+                    return True
+                case _:
+                    return False
+
+    def _is_acceptable(self, partial: PartialRequest) -> bool:
+        names = [name for name, _ in partial.head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            self._refuse(partial, "malformed", "both Content-Length and Transfer-Encoding")
+            return False
+        return True
+
+    def _receive(self, partial: PartialRequest) -> bytes | None:
+        """Return the next bytes, b"" at the end, or None after a time without any."""
+        limits = self._callers.limits
+        while True:
+            timeout_s = limits.header_timeout_s if partial.has_bytes else limits.idle_timeout_s
+            try:
+                wait_read(self._sock.fileno(), timeout_s)
+            except TimeoutError:
+                if self._exchanges:
+                    continue
+                if partial.has_bytes:
+                    self._refuse(partial, "header-timeout", f"nothing for {timeout_s:g} s")
+                return None
+            data = self._sock.recv(READ_BYTES)
+            partial.has_bytes = True
+            return data
+
+    # --- Requests ---
+
+    def _begin(self, partial: PartialRequest) -> None:
+        dialect, head = self._callers.dialect, partial.head
+        pairs = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers.raw_items()]
+        value_by_name = {name.lower(): value for name, value in pairs}
+        fields = [p for p in end_to_end(pairs) if p[0].lower() not in _framing(dialect)]
+        request_id = value_by_name.get(dialect.request_id.lower(), "")
+        if dialect.request_id.lower().startswith("pollenroad-") and request_id:
+            fields.append((dialect.request_id, request_id))
+        exchange = Exchange(self._callers.open(self), partial.connection, request_id)
+        self._exchanges.append(exchange)
+        event = RequestArrived(
+            call_id=exchange.call_id,
+            request_id=request_id,
+            host=value_by_name.get("host", ""),
+            request=Request(
+                method=head.method.decode("latin-1"),
+                path=head.target.decode("latin-1"),
+                headers=tuple(fields),
+                body=b"".join(partial.body),
+            ),
+            deadline_s=_deadline_s(value_by_name.get(dialect.deadline_ms.lower(), "")),
+        )
+        if self._callers.is_refusing:
+            self.take(AnswerCall(exchange.call_id, Verdict.NOT_RUN, "leaving", retry_after_ms=100))
+        else:
+            self._callers.post(event)
+
+    def _refuse(self, partial: PartialRequest, reason: str, detail: str) -> None:
+        """Answer a request that is not taken, as the last one of the connection."""
+        exchange = Exchange(self._callers.open(self), partial.connection, "")
+        self._exchanges.append(exchange)
+        log("caller_refused", reason=reason, detail=detail)
+        self.take(AnswerCall(exchange.call_id, Verdict.NOT_RUN, reason, detail=detail))
+        self._is_over = True
+        while self._exchanges:
+            self._may_read.clear()
+            self._may_read.wait()
+
+    def _abandon(self) -> None:
+        """Tell the entry that nobody waits for the answers that are still open."""
+        for exchange in self._exchanges:
+            self._callers.done(exchange.call_id)
+            if exchange.answer is None:
+                self._callers.post(CallAbandoned(exchange.call_id))
+        self._exchanges.clear()
+
+    # --- Answers ---
+
+    def take(self, answer: AnswerCall) -> None:
+        """Keep an answer until its turn."""
+        for exchange in self._exchanges:
+            if exchange.call_id == answer.call_id:
+                exchange.answer = answer
+        self._wake.set()
+
+    def _write(self) -> None:
+        try:
+            while True:
+                self._wake.wait()
+                self._wake.clear()
+                if self._write_ready():
+                    self._linger()
+                    return
+                if self._is_over and not self._exchanges:
+                    return
+        except (OSError, gevent.Timeout, h11.LocalProtocolError) as error:
+            log("caller_lost", reason=f"{type(error).__name__}: {error}", open=len(self._exchanges))
+            self._end_reading()
+
+    def _write_ready(self) -> bool:
+        """Write the answers whose turn has come; tell whether the connection ends behind them."""
+        while self._exchanges and self._exchanges[0].answer is not None:
+            exchange = self._exchanges[0]
+            is_last = len(self._exchanges) == 1
+            closes = is_last and (self._callers.is_closing or self._is_over)
+            data, ends = _answer_bytes(exchange, closes)
+            with gevent.Timeout(WRITE_TIMEOUT_S):
+                self._sock.sendall(data)
+            if self._exchanges and self._exchanges[0] is exchange:
+                self._exchanges.popleft()
+            self._callers.done(exchange.call_id)
+            self._may_read.set()
+            if ends:
+                return True
+        return False
+
+    def _linger(self) -> None:
+        self._is_over = True
+        self._sock.shutdown(socket.SHUT_WR)
+        gevent.spawn_later(LINGER_S, self._end_reading)
+
+    def _end_reading(self) -> None:
+        """Make the reading task see the end of the connection."""
+        self._is_over = True
+        try:
+            self._sock._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return  # The caller has closed the connection already.
+
+
+def _framing(dialect: Dialect) -> frozenset[str]:
+    return dialect.set_here | {"content-length", "expect"}
+
+
+def _deadline_s(text: str) -> float:
+    try:
+        deadline_s = float(text) / 1000
+    except ValueError:
+        return DEFAULT_DEADLINE_S
+    return deadline_s if 0 < deadline_s < float("inf") else DEFAULT_DEADLINE_S
+
+
+def _answer_bytes(exchange: Exchange, closes: bool) -> tuple[bytes, bool]:
+    """Return the bytes of an answer, and whether the connection ends behind it."""
+    answer = exchange.answer
+    fields = [("Connection", "close")] if closes else []
+    if answer.response is not None:
+        status, body = answer.response.status, answer.response.body
+        fields += answer.response.headers
+    else:
+        status, body = status_of(answer), f"{answer.reason}\n".encode()
+        fields.append(("Content-Type", "text/plain"))
+        if answer.retry_after_ms:
+            fields.append(("Retry-After", f"{answer.retry_after_ms / 1000:.3f}"))
+    fields.append(("Content-Length", str(len(body))))
+    connection = exchange.connection
+    if connection.our_state is h11.IDLE or connection.our_state is h11.SEND_RESPONSE:
+        data = connection.send(h11.Response(status_code=status, headers=fields))
+        data += connection.send(h11.Data(data=body)) + connection.send(h11.EndOfMessage())
+        return data, closes or connection.our_state is h11.MUST_CLOSE
+    raise h11.LocalProtocolError("no answer can be sent after a malformed request")
+
+
+def make_caller_server(address: str, callers: Callers) -> StreamServer:
+    """Make the server of callers at `address`, not yet started."""
+    return StreamServer(split_address(address), callers.serve, backlog=BACKLOG)
--- /dev/null
+++ b/src/pollenroad/proxy/cores.py
@@ -0,0 +1,96 @@
+"""The cores of one proxy: directory, entry and guard, and which events concern which. No I/O."""
+
+import random
+from dataclasses import dataclass
+
+from pollenroad.boundary import (
+    AttemptUnsent,
+    CallAbandoned,
+    PeerLost,
+    PeerReceived,
+    ServerAnswered,
+    ServerFailed,
+    ServerShed,
+    StopRequested,
+    Tick,
+)
+from pollenroad.messages import AttemptAnswer
+from pollenroad.proxy.boundary import (
+    Action,
+    DirectoryChanged,
+    DirectoryLost,
+    DirectoryRead,
+    EntryLost,
+    Event,
+    LoadHeard,
+    RequestArrived,
+    ServerSeen,
+    ServerSilent,
+)
+from pollenroad.proxy.directory import make_directory
+from pollenroad.proxy.entry import BudgetRules, Entry
+from pollenroad.proxy.guard import make_guard
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a daemon runs, and beside which server."""
+
+    vm: str
+    failure_domain: str
+    service: str
+    server: str
+    """Address of the server."""
+
+
+class ProxyCores:
+    """State of one proxy."""
+
+    def __init__(
+        self, incarnation: str, place: Place, rules: BudgetRules, rng: random.Random, now: float
+    ):
+        self.directory = make_directory()
+        self.entry = Entry(incarnation, place.failure_domain, self.directory, rules, rng)
+        self.entry.caller = place.service
+        self.guard = make_guard(place.server, place.service, self.directory, now)
+
+    def move(self, place: Place) -> None:
+        """Take a new place, after the settings have changed."""
+        self.entry.caller = place.service
+        self.guard.service = place.service
+        self.guard.server = place.server
+
+    def next_due(self) -> float | None:
+        """Return when `Tick` is next needed, in monotonic seconds."""
+        dues = (self.directory.next_due(), self.entry.next_due(), self.guard.next_due())
+        return min((due for due in dues if due is not None), default=None)
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what is to be done.
+
+        What is overdue goes first: a process that was paused acts on no answer or attempt before
+        it has seen which time limits have passed meanwhile.
+        """
+        due = self.next_due()
+        is_late = due is not None and due <= now and not isinstance(event, Tick)
+        actions = self._dispatch(Tick(), now) if is_late else []
+        return actions + self._dispatch(event, now)
+
+    def _dispatch(self, event: Event, now: float) -> list[Action]:
+        match event:
+            case DirectoryRead() | DirectoryChanged() | DirectoryLost():
+                records = self.directory.handle(event, now)
+                self.entry.fleet.forget(self.directory.all_endpoints())
+                return [*records, *self.guard.handle(event, now)]
+            case RequestArrived() | CallAbandoned() | AttemptUnsent() | PeerLost() | LoadHeard():
+                return self.entry.handle(event, now)
+            case PeerReceived(_, AttemptAnswer()):
+                return self.entry.handle(event, now)
+            case PeerReceived() | EntryLost() | StopRequested():
+                return self.guard.handle(event, now)
+            case ServerAnswered() | ServerFailed() | ServerShed() | ServerSeen() | ServerSilent():
+                return self.guard.handle(event, now)
+            case Tick():
+                records = self.directory.due(now)
+                return [*records, *self.entry.handle(event, now), *self.guard.handle(event, now)]
+        return []
--- /dev/null
+++ b/src/pollenroad/proxy/daemon.py
@@ -0,0 +1,237 @@
+"""The daemon of one proxy: drives the cores over sockets, from its start to its end."""
+
+import os
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event as Flag
+
+from pollenroad.addresses import host_of
+from pollenroad.boundary import AnswerCall, CancelAtServer, Record, RunAtServer, SendPeer, StopRequested
+from pollenroad.driver import Driver
+from pollenroad.exceptions import ConfigurationError
+from pollenroad.logs import log
+from pollenroad.peers import Identity, Peers
+from pollenroad.proxy.boundary import Action, CheckServer, EntryLost, Event, TellLoad
+from pollenroad.proxy.callers import Callers, make_caller_server
+from pollenroad.proxy.cores import Place, ProxyCores
+from pollenroad.proxy.dialect import Dialect
+from pollenroad.proxy.entry import BudgetRules
+from pollenroad.proxy.http1 import Page, serve_pages
+from pollenroad.proxy.metrics import CONTENT_TYPE, ProxyMetrics
+from pollenroad.proxy.notices import Notices
+from pollenroad.proxy.settings import ProxySettings, load_proxy_settings, seconds
+from pollenroad.proxy.upstream import Upstream
+from pollenroad.verdicts import Verdict
+
+LEAVING_NOTICE_S = 2.2
+"""Time after a stop is asked for in which callers still come: they look at readiness once a second
+and stay away after the second refusal."""
+
+TAKE_SHARE = 0.45
+"""Share of the time between SIGTERM and SIGKILL in which new requests are taken. The rest is for
+what is in flight."""
+
+LEAVE_SHARE = 0.93
+"""Share of that time after which the daemon ends with requests in flight."""
+
+POLL_S = 0.05
+"""Time between two looks at what is in flight while the daemon stops, in seconds."""
+
+SETTINGS_POLL_S = 1.0
+"""Time between two looks at the settings file, in seconds: it may change without a signal."""
+
+RETRY_SHARE = 0.5
+"""Part of the fleet's bound on retries that is used: calls that a repeated run makes count as
+repeats at the service that they go to."""
+
+FLEET_MIN = 8
+"""Daemons assumed to share the bound on retries, at the least."""
+
+
+class ProxyDaemon:
+    """One proxy: the cores, and the sockets round them.
+
+    Args:
+        settings_path: Path of the settings file.
+        dialect: Names of header fields.
+        readiness_path: Path of the readiness page.
+    """
+
+    def __init__(self, settings_path: str, dialect: Dialect, readiness_path: str):
+        self.settings = load_proxy_settings(settings_path)
+        self.incarnation = os.urandom(4).hex()
+        self.metrics = ProxyMetrics()
+        self.stopping = False
+        self._settings_path = settings_path
+        self._settings_mark = _mark(settings_path)
+        self._ended = Flag()
+        settings, rng = self.settings, random.Random(self.incarnation)
+        place, rules = _place(settings), _budget_rules(settings)
+        self.cores = ProxyCores(self.incarnation, place, rules, rng, time.monotonic())
+        self._driver = Driver(self._handle, self.cores.next_due)
+        self.post = self._driver.post
+        self.callers = Callers(dialect, self.post)
+        self.upstream = Upstream(settings.server, dialect, self.post)
+        identity = Identity(
+            settings.vm, settings.peer_address, self.incarnation, settings.failure_domain
+        )
+        lost = lambda peer: self.post(EntryLost(peer))  # noqa: E731
+        self.peers = Peers(identity, self.post, lambda _: True, on_entry_lost=lost)
+        host = host_of(settings.peer_address)
+        self.notices = Notices(f"{host}:{settings.notice_port}", self.post)
+        self._servers = [
+            make_caller_server(settings.call_address, self.callers),
+            serve_pages(settings.readiness_address, {readiness_path: self._readiness}),
+            serve_pages(f"{host}:{settings.metrics_port}", {"/metrics": self._metrics_page}),
+        ]
+
+    @property
+    def ready(self) -> bool:
+        """Whether this daemon holds configuration and takes work."""
+        return self.cores.directory.configuration is not None and not self.stopping
+
+    # --- Events and actions ---
+
+    def _handle(self, event: Event) -> None:
+        for action in self.cores.handle(event, time.monotonic()):
+            self._perform(action)
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case SendPeer(peer, message):
+                self.peers.send(peer, message)
+            case AnswerCall():
+                self.callers.answer(action)
+            case RunAtServer(attempt, timeout_s):
+                self.upstream.run(attempt, timeout_s)
+            case CancelAtServer(attempt_id):
+                self.upstream.cancel(attempt_id)
+            case CheckServer(path, timeout_s):
+                self.upstream.check(path, timeout_s)
+            case TellLoad(hosts, report):
+                self.notices.tell(hosts, report)
+            case Record(name, fields):
+                self._record(name, dict(fields))
+
+    def _record(self, name: str, values: dict[str, object]) -> None:
+        self.metrics.record(name, values)
+        if name == "configuration_in_force":
+            self.callers.limits = self.cores.directory.configuration.limits
+        if name == "call_answered" and values["verdict"] != Verdict.RAN:
+            name = "call_failed"
+        log(name, **values)
+
+    # --- Pages ---
+
+    def _readiness(self) -> Page:
+        return (200 if self.ready else 503), "application/json", b'{"ready":%s}' % (
+            b"true" if self.ready else b"false"
+        )
+
+    def _metrics_page(self) -> Page:
+        gauge_by_name = {
+            "ready": float(self.ready),
+            "open_requests": self.callers.open_requests,
+            "server_in_flight_requests": self.cores.guard.in_flight,
+            "server_queued_requests": self.cores.guard.queued,
+            "directory_revision": self.cores.directory.revision,
+        }
+        return 200, CONTENT_TYPE, self.metrics.text(gauge_by_name)
+
+    # --- Life ---
+
+    def start(self, read_directory: Callable[["ProxyDaemon"], None]) -> None:
+        """Listen, and start the tasks.
+
+        Args:
+            read_directory: Task that reads the platform and posts what it finds.
+        """
+        self.peers.start()
+        self.notices.start()
+        for server in self._servers:
+            server.start()
+        gevent.spawn(self._driver.run_timer)
+        gevent.spawn(read_directory, self)
+        gevent.spawn(self._watch_settings)
+        settings = self.settings
+        log(
+            "daemon_started",
+            incarnation=self.incarnation,
+            service=settings.service,
+            server=settings.server,
+            call_address=settings.call_address,
+        )
+
+    def wait(self) -> None:
+        """Block until the daemon has ended."""
+        self._ended.wait()
+
+    def stop(self) -> None:
+        """Refuse new work, finish what is in flight, and end. Returns at once."""
+        if not self.stopping:
+            self.stopping = True
+            gevent.spawn(self._drain)
+
+    def _drain(self) -> None:
+        started, grace_s = time.monotonic(), seconds(self.settings.grace)
+        log("daemon_stopping", in_flight=self.cores.guard.in_flight, calls=self._open())
+        self.callers.is_closing = True
+        self.post(StopRequested())
+        while (elapsed_s := time.monotonic() - started) < LEAVE_SHARE * grace_s:
+            if elapsed_s > LEAVING_NOTICE_S and not self._open():
+                break
+            self.callers.is_refusing = elapsed_s > TAKE_SHARE * grace_s
+            gevent.sleep(POLL_S)
+        if self._open():
+            log("drain_timeout", in_flight=self.cores.guard.in_flight, calls=self._open())
+        for server in self._servers:
+            server.close()
+        log("daemon_stopped", seconds=round(time.monotonic() - started, 2))
+        self._ended.set()
+
+    def _open(self) -> int:
+        guard = self.cores.guard
+        return self.callers.open_requests + guard.in_flight + guard.queued
+
+    # --- Settings ---
+
+    def _watch_settings(self) -> None:
+        while True:
+            gevent.sleep(SETTINGS_POLL_S)
+            if _mark(self._settings_path) != self._settings_mark:
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the settings file again; a file that is not valid changes nothing."""
+        self._settings_mark = _mark(self._settings_path)
+        try:
+            settings = load_proxy_settings(self._settings_path)
+        except ConfigurationError as error:
+            log("settings_refused", reason=str(error))
+            return
+        if settings.server != self.settings.server:
+            self.upstream.move(settings.server)
+        self.settings = settings
+        self.cores.move(_place(settings))
+        log("settings_reloaded", service=settings.service, server=settings.server)
+
+
+def _mark(path: str) -> tuple[int, int] | None:
+    try:
+        found = os.stat(path)
+    except OSError:
+        return None  # The platform may be replacing the file; the next look finds the new one.
+    return found.st_mtime_ns, found.st_size
+
+
+def _place(settings: ProxySettings) -> Place:
+    return Place(settings.vm, settings.failure_domain, settings.service, settings.server)
+
+
+def _budget_rules(settings: ProxySettings) -> BudgetRules:
+    """Divide the fleet's bound on retries among the daemons."""
+    per_s = settings.retry_slack / seconds(settings.retry_window) / FLEET_MIN
+    return BudgetRules(ratio=settings.retry_ratio * RETRY_SHARE, per_s=per_s * RETRY_SHARE)
--- /dev/null
+++ b/src/pollenroad/proxy/directory.py
@@ -0,0 +1,223 @@
+"""What a daemon knows of routes and endpoints, and how old that is. No I/O.
+
+The platform is only read. What it says is taken as it comes, but for one thing: registrations that
+end together, or soon after the platform was away, may be leases that ran out while their servers
+could not renew them. Such endpoints stay for `RETURN_S`, in which a living server is back.
+"""
+
+from collections.abc import Iterator
+
+from pollenroad.boundary import Record
+from pollenroad.proxy.boundary import (
+    DirectoryChanged,
+    DirectoryEvent,
+    DirectoryItem,
+    DirectoryLost,
+    DirectoryRead,
+    DomainOut,
+    EndpointRemoved,
+)
+from pollenroad.proxy.models import Configuration, RegisteredEndpoint
+from pollenroad.proxy.routes import RouteTable
+
+RETURN_S = 2.2
+"""Time after the platform's return in which living servers register again, in seconds: the two
+seconds that the platform states, and a margin for the way of the news."""
+
+DISTURBED_S = 3.0
+"""Time after a failed read for which an ended registration may be a lease that ran out, in
+seconds: the platform counts as stable again after this time."""
+
+MASS_RETURN_S = 1.5
+"""The same where only the number of ended registrations hints at a lapse, in seconds: below the
+two seconds in which a leaving endpoint must get no more work."""
+
+MASS_SHARE = 0.34
+"""Share of a service's registrations that must end within `DISTURBED_S` to be taken as lapsed."""
+
+MASS_MIN = 3
+"""Registrations that must end together, at the least, to be taken as lapsed."""
+
+
+class Directory:
+    """Routes, endpoints and failure domains out of service, as last read."""
+
+    def __init__(self):
+        self.configuration: Configuration | None = None
+        self.routes = RouteTable(())
+        self.revision = 0
+        self.read_at = float("-inf")
+        """Monotonic time of the last news or confirmation from the platform."""
+        self.out_domains: frozenset[str] = frozenset()
+        self._endpoint_by_incarnation: dict[str, RegisteredEndpoint] = {}
+        self._doubtful_until: dict[str, float] = {}
+        self._removed_at: dict[str, float] = {}
+        self._lost_at = float("-inf")
+        self._is_lost = False
+
+    # --- What entry and guard ask ---
+
+    def endpoints(self, service: str) -> Iterator[RegisteredEndpoint]:
+        """Yield the endpoints of a service that take new work."""
+        for endpoint in self._endpoint_by_incarnation.values():
+            if endpoint.service == service and self.is_usable(endpoint):
+                yield endpoint
+
+    def all_endpoints(self) -> Iterator[RegisteredEndpoint]:
+        """Yield every endpoint that is known, also those that leave."""
+        yield from self._endpoint_by_incarnation.values()
+
+    def is_usable(self, endpoint: RegisteredEndpoint) -> bool:
+        """Tell whether an endpoint takes new work."""
+        return not endpoint.is_leaving and endpoint.failure_domain not in self.out_domains
+
+    def is_doubtful(self, incarnation: str) -> bool:
+        """Tell whether an endpoint's lease ran out and the endpoint is not back yet."""
+        return incarnation in self._doubtful_until
+
+    def at_server(self, server: str) -> RegisteredEndpoint | None:
+        """Return the newest endpoint registered at a server's address, or None."""
+        here = (e for e in self._endpoint_by_incarnation.values() if e.server == server)
+        return max(here, key=lambda endpoint: endpoint.revision, default=None)
+
+    def next_due(self) -> float | None:
+        """Return when `due` is next needed, in monotonic seconds."""
+        return min(self._doubtful_until.values(), default=None)
+
+    # --- What the platform says ---
+
+    def handle(self, event: DirectoryEvent, now: float) -> list[Record]:
+        """Take news of the platform; return the records of what changed."""
+        match event:
+            case DirectoryLost(reason):
+                return self._lost(reason, now)
+            case DirectoryRead():
+                records = [*self._regained(now), *self._replace(event, now)]
+            case DirectoryChanged(revision, items):
+                records = [*self._regained(now), *self._change(items, now)]
+                self.revision = revision
+        self.read_at = now
+        return records
+
+    def due(self, now: float) -> list[Record]:
+        """Drop the endpoints that are not back in time; return the records of it."""
+        if self._is_lost:
+            return []
+        gone = [name for name, until in self._doubtful_until.items() if until <= now]
+        return [self._drop(name, "not back after the lease ran out", now) for name in gone]
+
+    def _lost(self, reason: str, now: float) -> list[Record]:
+        self._lost_at = now
+        if self._is_lost:
+            return []
+        self._is_lost = True
+        return [Record("directory_lost", (("reason", reason), ("revision", self.revision)))]
+
+    def _regained(self, now: float) -> list[Record]:
+        if not self._is_lost:
+            return []
+        self._is_lost = False
+        self._lost_at = now
+        for name in self._doubtful_until:
+            self._doubtful_until[name] = now + RETURN_S
+        return [Record("directory_regained", (("age_s", round(now - self.read_at, 3)),))]
+
+    def _replace(self, event: DirectoryRead, now: float) -> Iterator[Record]:
+        self.revision = event.revision
+        if event.configuration is not None:
+            yield from self._configure(event.configuration)
+        yield from self._set_domains(event.out_domains)
+        missing = [n for n in self._endpoint_by_incarnation if n not in event.endpoint_by_incarnation]
+        yield from self._remove(missing, now)
+        for endpoint in event.endpoint_by_incarnation.values():
+            yield from self._register(endpoint)
+
+    def _change(self, items: tuple[DirectoryItem, ...], now: float) -> Iterator[Record]:
+        removed = [item.incarnation for item in items if isinstance(item, EndpointRemoved)]
+        back = {item.incarnation for item in items if isinstance(item, RegisteredEndpoint)}
+        yield from self._remove([name for name in removed if name not in back], now)
+        for item in items:
+            match item:
+                case Configuration():
+                    yield from self._configure(item)
+                case RegisteredEndpoint():
+                    yield from self._register(item)
+                case DomainOut(domain, is_out):
+                    changed = self.out_domains | {domain} if is_out else self.out_domains - {domain}
+                    yield from self._set_domains(changed)
+
+    def _configure(self, configuration: Configuration) -> Iterator[Record]:
+        before = self.configuration.version if self.configuration else 0
+        if configuration.version == before:
+            return
+        if configuration.version < before:
+            fields = (("version", configuration.version), ("in_force", before))
+            yield Record("configuration_refused", (("reason", "older than the one in force"), *fields))
+            return
+        self.configuration = configuration
+        self.routes = RouteTable(configuration.routes)
+        yield Record(
+            "configuration_in_force",
+            (("version", configuration.version), ("before", before), ("routes", len(configuration.routes))),
+        )
+
+    def _set_domains(self, domains: frozenset[str]) -> Iterator[Record]:
+        if domains != self.out_domains:
+            self.out_domains = domains
+            yield Record("domains_out", (("failure_domains", sorted(domains)),))
+
+    def _register(self, endpoint: RegisteredEndpoint) -> Iterator[Record]:
+        name = endpoint.incarnation
+        before = self._endpoint_by_incarnation.get(name)
+        self._doubtful_until.pop(name, None)
+        self._removed_at.pop(name, None)
+        if before is not None and endpoint.revision < before.revision:
+            return
+        self._endpoint_by_incarnation[name] = endpoint
+        if before is None or before.is_leaving != endpoint.is_leaving:
+            yield Record(
+                "endpoint_registered",
+                (
+                    ("endpoint", name),
+                    ("service", endpoint.service),
+                    ("server", endpoint.server),
+                    ("leaving", endpoint.is_leaving),
+                    ("revision", endpoint.revision),
+                ),
+            )
+
+    def _remove(self, names: list[str], now: float) -> Iterator[Record]:
+        known = [name for name in names if name in self._endpoint_by_incarnation]
+        for name in known:
+            self._removed_at[name] = now
+        for name in known:
+            wait_s = self._lapse_s(name, now)
+            if wait_s:
+                self._doubtful_until.setdefault(name, now + wait_s)
+                yield Record("endpoint_doubtful", (("endpoint", name), ("wait_s", wait_s)))
+            else:
+                yield self._drop(name, "registration ended", now)
+
+    def _lapse_s(self, name: str, now: float) -> float:
+        """Return how long to wait for an endpoint whose registration ended, in seconds."""
+        if self._endpoint_by_incarnation[name].is_leaving:
+            return 0.0
+        if now - self._lost_at < DISTURBED_S or self._is_lost:
+            return RETURN_S
+        recent = [n for n, at in self._removed_at.items() if now - at < DISTURBED_S]
+        many = max(MASS_MIN, MASS_SHARE * len(self._endpoint_by_incarnation))
+        return MASS_RETURN_S if len(recent) >= many else 0.0
+
+    def _drop(self, name: str, reason: str, now: float) -> Record:
+        endpoint = self._endpoint_by_incarnation.pop(name)
+        self._doubtful_until.pop(name, None)
+        self._removed_at = {n: at for n, at in self._removed_at.items() if now - at < DISTURBED_S}
+        return Record(
+            "endpoint_gone",
+            (("endpoint", name), ("service", endpoint.service), ("reason", reason)),
+        )
+
+
+def make_directory() -> Directory:
+    """Make a directory that knows nothing yet."""
+    return Directory()
--- /dev/null
+++ b/src/pollenroad/proxy/entry.py
@@ -0,0 +1,520 @@
+"""The entry core of transparent HTTP: route, choose, retry, hedge, and answer with a verdict.
+
+No I/O. A request gets exactly one answer, at its route's timeout at the latest. It is sent again
+only if it did not run, or if it may run more than once; every send that reaches a second server
+draws on a budget (`pollenroad.retries`), so that retries stay within the bound of the whole fleet.
+"""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from pollenroad.boundary import (
+    Action,
+    AnswerCall,
+    AttemptUnsent,
+    CallAbandoned,
+    PeerLost,
+    PeerReceived,
+    Record,
+    SendPeer,
+    Tick,
+)
+from pollenroad.latencies import Latencies
+from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport, Response
+from pollenroad.proxy.boundary import Event, LoadHeard, RequestArrived
+from pollenroad.proxy.directory import Directory
+from pollenroad.proxy.fleet import EndpointView, make_fleet
+from pollenroad.proxy.models import Route
+from pollenroad.proxy.routes import Splitter
+from pollenroad.retries import Budget
+from pollenroad.timers import Timers
+from pollenroad.verdicts import Verdict, may_retry
+
+SERVER_ERROR = 500
+"""Lowest HTTP status that counts as a failure of the server."""
+
+HOLD_SHARE = 0.11
+"""Share of the latency objective for which a request waits for an endpoint to become available."""
+
+HOLD_STEP_S = 0.04
+"""Time between two looks for an endpoint, in seconds."""
+
+MAX_REFUSALS = 6
+"""Refusals by guards after which a request is given up, so that it does not circle."""
+
+RETRY_AFTER_S = 0.3
+"""Advice to callers where no guard gives any, in seconds."""
+
+FIRST_GUESS_SHARE = 0.35
+"""Usual time of a route that is not known yet, as a share of its latency objective."""
+
+HEDGE_QUANTILE = 0.9
+"""Latency quantile at which an attempt counts as late."""
+
+HEDGE_MIN_SHARE = 0.15
+"""Earliest time of a hedge, as a share of the latency objective."""
+
+HEDGE_MAX_SHARE = 0.6
+"""Latest time of a first look at an attempt, as a share of the latency objective."""
+
+SLOW_FACTOR = 2.5
+"""Slowdown of a server from which its open attempts are looked at early."""
+
+SLOW_LOOK_S = 0.01
+"""Time until that look, in seconds: the answer may be under way."""
+
+ANSWER_MARGIN_S = 0.015
+"""Time kept for the way of the answer out of what a server may use, in seconds."""
+
+
+@dataclass(slots=True)
+class OpenCall:
+    """A request without an answer yet."""
+
+    arrived: RequestArrived
+    route: Route
+    service: str
+    started: float
+    ends: float
+    """Monotonic time at which the request is answered whatever has happened."""
+    sends: int = 0
+    """Attempts that are open or have reached a server."""
+    refusals: int = 0
+    maybe_ran: bool = False
+    tried: set[str] = field(default_factory=set)
+    open_attempt_ids: set[str] = field(default_factory=set)
+    failure: Response | None = None
+    """A server's own failure, kept while another server is tried."""
+    retry_after_s: float = RETRY_AFTER_S
+
+
+@dataclass(frozen=True, slots=True)
+class OpenAttempt:
+    """An attempt that was handed over and has not ended."""
+
+    call_id: str
+    view: EndpointView
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetRules:
+    """Bound on sends beyond the first of each request, for the whole fleet."""
+
+    ratio: float = 0.1
+    """Share of the requests of a service that may be sent again."""
+    per_s: float = 0.3
+    """Sends beyond that an entry may make each second whatever the traffic is."""
+    capacity: float = 8.0
+    """Sends that an entry may have saved up for one service."""
+
+
+class Entry:
+    """State of one entry: open requests, their attempts, and what is known of endpoints."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        failure_domain: str,
+        directory: Directory,
+        rules: BudgetRules,
+        rng: random.Random,
+    ):
+        self.caller = ""
+        """Service of the server on this VM, where the requests begin."""
+        self.fleet = make_fleet(failure_domain, rng)
+        self._incarnation = incarnation
+        self._directory = directory
+        self._rules = rules
+        self._splitter = Splitter()
+        self._call_by_id: dict[str, OpenCall] = {}
+        self._attempt_by_id: dict[str, OpenAttempt] = {}
+        self._attempt_count = 0
+        self._timers = Timers()
+        self._latencies_by_route: dict[str, Latencies] = {}
+        self._budget_by_service: dict[str, Budget] = {}
+
+    @property
+    def open_calls(self) -> int:
+        """Requests without an answer yet."""
+        return len(self._call_by_id)
+
+    def next_due(self) -> float | None:
+        """Return when `Tick` is next needed, in monotonic seconds."""
+        return self._timers.next_due()
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what is to be done."""
+        return list(self._actions(event, now))
+
+    def _actions(self, event: Event, now: float) -> Iterator[Action]:
+        match event:
+            case RequestArrived():
+                yield from self._on_request(event, now)
+            case PeerReceived(_, AttemptAnswer() as answer):
+                yield from self._on_answer(answer, now)
+            case LoadHeard(host, report):
+                yield from self._on_load(host, report, now)
+            case CallAbandoned(call_id):
+                yield from self._abandon(call_id, now)
+            case AttemptUnsent(attempt_id):
+                yield from self._on_unsent(attempt_id, now)
+            case PeerLost(peer):
+                yield from self._on_peer_lost(peer, now)
+            case Tick():
+                yield from self._on_tick(now)
+
+    # --- Requests ---
+
+    def _on_request(self, arrived: RequestArrived, now: float) -> Iterator[Action]:
+        if self._directory.configuration is None:
+            yield from _refuse(arrived, "no-configuration")
+            return
+        route = self._directory.routes.match(arrived.host, arrived.request.path)
+        if route is None:
+            yield from _refuse(arrived, "no-route")
+            return
+        ends = now + min(route.timeout_s, arrived.deadline_s)
+        service = self._splitter.service_of(route)
+        call = OpenCall(arrived, route, service, now, ends)
+        self._call_by_id[arrived.call_id] = call
+        self._budget(service, now).first_attempt()
+        self._timers.set(("end", arrived.call_id), ends)
+        yield from self._send(call, "first", now)
+
+    def _send(self, call: OpenCall, role: str, now: float) -> Iterator[Action]:
+        chosen = self._choose(call, now)
+        if chosen is None:
+            yield from self._hold(call, now)
+            return
+        view, cost_s = chosen
+        yield from self._send_to(call, view, cost_s, role, now)
+
+    def _choose(self, call: OpenCall, now: float) -> tuple[EndpointView, float] | None:
+        directory = self._directory
+        candidates = (
+            (endpoint, directory.is_doubtful(endpoint.incarnation))
+            for endpoint in directory.endpoints(call.service)
+        )
+        return self.fleet.choose(candidates, call.tried, self._work_s(call.route), now)
+
+    def _send_to(
+        self, call: OpenCall, view: EndpointView, cost_s: float, role: str, now: float
+    ) -> Iterator[Action]:
+        self._attempt_count += 1
+        attempt_id = f"{self._incarnation}-{self._attempt_count}"
+        self._attempt_by_id[attempt_id] = OpenAttempt(call.arrived.call_id, view, now)
+        call.open_attempt_ids.add(attempt_id)
+        call.tried.add(view.endpoint.incarnation)
+        call.sends += 1
+        view.own_open += 1
+        view.sent_since_report += 1
+        self._look_later(call, view, now)
+        fields = (
+            ("request_id", call.arrived.request_id),
+            ("attempt_id", attempt_id),
+            ("endpoint", view.endpoint.incarnation),
+            ("why", role),
+            ("cost_ms", round(cost_s * 1000)),
+            ("in_flight", view.in_flight()),
+            ("slowdown", round(view.current_slowdown(now), 2)),
+            ("report_age_ms", _age_ms(view.reported_at, now)),
+            ("config_version", self._directory.configuration.version),
+            ("revision", self._directory.revision),
+        )
+        yield Record("attempt_sent", fields)
+        yield SendPeer(view.endpoint.guard, self._attempt(call, view, attempt_id, now))
+
+    def _attempt(self, call: OpenCall, view: EndpointView, attempt_id: str, now: float) -> Attempt:
+        route = call.route
+        return Attempt(
+            attempt_id=attempt_id,
+            request_id=call.arrived.request_id,
+            service=call.service,
+            customer="",
+            request_class=route.name,
+            idempotent=route.idempotent,
+            remaining_ms=(call.ends - now - ANSWER_MARGIN_S) * 1000,
+            request=call.arrived.request,
+            number=call.sends,
+            config_version=self._directory.configuration.version,
+            sent_ms=now * 1000,
+            incarnation=view.endpoint.incarnation,
+            caller=self.caller,
+            objective_ms=max(0.0, call.started + route.objective_s - now) * 1000,
+            priority=route.priority,
+        )
+
+    def _hold(self, call: OpenCall, now: float) -> Iterator[Action]:
+        """Wait a little for an endpoint, or give the request up."""
+        if call.open_attempt_ids:
+            return
+        until = call.started + HOLD_SHARE * call.route.objective_s
+        if now < until and call.refusals < MAX_REFUSALS:
+            call.tried.clear()
+            due = min(now + HOLD_STEP_S, until)
+            self._timers.set(("hold", call.arrived.call_id), due)
+            return
+        yield from self._finish(call, Verdict.NOT_RUN, "no-endpoint", now)
+
+    # --- Ends of attempts ---
+
+    def _close_attempt(self, attempt_id: str, now: float) -> tuple[OpenCall, OpenAttempt] | None:
+        attempt = self._attempt_by_id.pop(attempt_id, None)
+        if attempt is None:
+            return None
+        attempt.view.own_open -= 1
+        call = self._call_by_id[attempt.call_id]
+        call.open_attempt_ids.discard(attempt_id)
+        return call, attempt
+
+    def _on_answer(self, answer: AttemptAnswer, now: float) -> Iterator[Action]:
+        closed = self._close_attempt(answer.attempt_id, now)
+        if closed is None:
+            return
+        call, attempt = closed
+        verdict = Verdict(answer.verdict)
+        if answer.load is not None:
+            attempt.view.learn(answer.load, now)
+        yield _ended(call, answer.attempt_id, attempt, verdict, answer.reason, now)
+        match verdict:
+            case Verdict.RAN:
+                yield from self._on_ran(call, attempt, answer.response, now)
+            case Verdict.UNKNOWN:
+                attempt.view.failed(now)
+                yield from self._on_unknown(call, answer.reason, now)
+            case Verdict.NOT_RUN:
+                if answer.retry_after_ms:
+                    call.retry_after_s = answer.retry_after_ms / 1000
+                yield from self._on_not_run(call, answer.reason, answer.reached_server, now)
+
+    def _on_ran(
+        self, call: OpenCall, attempt: OpenAttempt, response: Response, now: float
+    ) -> Iterator[Action]:
+        if response.status < SERVER_ERROR:
+            attempt.view.succeeded(now)
+            self._latencies(call.route).add(now - attempt.sent_at)
+            yield from self._finish(call, Verdict.RAN, "", now, response, attempt.view)
+            return
+        attempt.view.failed(now)
+        call.failure = response
+        yield from self._again_or_finish(call, Verdict.RAN, "server-error", now)
+
+    def _on_unknown(self, call: OpenCall, reason: str, now: float) -> Iterator[Action]:
+        call.maybe_ran = True
+        yield from self._again_or_finish(call, Verdict.UNKNOWN, reason, now)
+
+    def _on_not_run(
+        self, call: OpenCall, reason: str, reached_server: bool, now: float
+    ) -> Iterator[Action]:
+        call.refusals += 1
+        if reached_server:
+            yield from self._again_or_finish(call, Verdict.NOT_RUN, reason, now)
+            return
+        call.sends -= 1
+        if call.open_attempt_ids:
+            return
+        if call.refusals >= MAX_REFUSALS or call.sends >= call.route.max_attempts:
+            yield from self._finish(call, Verdict.NOT_RUN, reason, now)
+            return
+        yield from self._send(call, "refused", now)
+
+    def _again_or_finish(
+        self, call: OpenCall, verdict: Verdict, reason: str, now: float
+    ) -> Iterator[Action]:
+        """Send a request again after a server has had it, if that is allowed."""
+        if call.open_attempt_ids:
+            return
+        if self._may_send_again(call, verdict, now):
+            chosen = self._choose(call, now)
+            if chosen is not None and self._budget(call.service, now).spend(now):
+                yield from self._send_to(call, *chosen, "retry", now)
+                return
+        yield from self._finish(call, verdict, reason, now)
+
+    def _may_send_again(self, call: OpenCall, verdict: Verdict, now: float) -> bool:
+        if call.sends >= call.route.max_attempts:
+            return False
+        if call.route.idempotent:
+            return now + self._work_s(call.route) / 2 < call.ends
+        return may_retry(verdict, False) and not call.maybe_ran
+
+    def _on_unsent(self, attempt_id: str, now: float) -> Iterator[Action]:
+        closed = self._close_attempt(attempt_id, now)
+        if closed is None:
+            return
+        call, attempt = closed
+        attempt.view.unreachable(now)
+        yield _ended(call, attempt_id, attempt, Verdict.NOT_RUN, "unreachable", now)
+        yield from self._on_not_run(call, "unreachable", False, now)
+
+    def _on_peer_lost(self, peer: str, now: float) -> Iterator[Action]:
+        for view in self.fleet.at(peer):
+            view.unreachable(now)
+        lost = [i for i, a in self._attempt_by_id.items() if a.view.endpoint.guard == peer]
+        for attempt_id in lost:
+            closed = self._close_attempt(attempt_id, now)
+            if closed is not None:
+                call, attempt = closed
+                yield _ended(call, attempt_id, attempt, Verdict.UNKNOWN, "peer-lost", now)
+                yield from self._on_unknown(call, "peer-lost", now)
+
+    # --- Ends of requests ---
+
+    def _finish(
+        self,
+        call: OpenCall,
+        verdict: Verdict,
+        reason: str,
+        now: float,
+        response: Response | None = None,
+        view: EndpointView | None = None,
+    ) -> Iterator[Action]:
+        response = response or call.failure
+        if response is not None:
+            verdict = Verdict.RAN
+        elif verdict is Verdict.NOT_RUN and call.maybe_ran:
+            verdict = Verdict.UNKNOWN
+        yield from self._close(call, now)
+        endpoint = view.endpoint.incarnation if view else ""
+        retry_after_ms = call.retry_after_s * 1000 if verdict is Verdict.NOT_RUN else 0.0
+        yield _answered(call, verdict, reason, endpoint, now)
+        yield AnswerCall(
+            call.arrived.call_id, verdict, reason, response, call.sends, endpoint, retry_after_ms
+        )
+
+    def _close(self, call: OpenCall, now: float) -> Iterator[Action]:
+        call_id = call.arrived.call_id
+        del self._call_by_id[call_id]
+        for kind in ("end", "hold", "look"):
+            self._timers.cancel((kind, call_id))
+        for attempt_id in sorted(call.open_attempt_ids):
+            attempt = self._attempt_by_id.pop(attempt_id)
+            attempt.view.own_open -= 1
+            yield SendPeer(attempt.view.endpoint.guard, CancelAttempt(attempt_id))
+
+    def _abandon(self, call_id: str, now: float) -> Iterator[Action]:
+        call = self._call_by_id.get(call_id)
+        if call is not None:
+            yield from self._close(call, now)
+            yield _answered(call, Verdict.UNKNOWN, "abandoned", "", now)
+
+    # --- Time and load ---
+
+    def _on_tick(self, now: float) -> Iterator[Action]:
+        for kind, call_id in list(self._timers.pop_due(now)):
+            call = self._call_by_id.get(call_id)
+            if call is None:
+                continue
+            match kind:
+                case "hold":
+                    yield from self._send(call, "held", now)
+                case "look":
+                    yield from self._hedge(call, now)
+                case "end":
+                    is_sent = call.open_attempt_ids or call.maybe_ran
+                    verdict = Verdict.UNKNOWN if is_sent else Verdict.NOT_RUN
+                    yield from self._finish(call, verdict, "timeout", now)
+
+    def _look_later(self, call: OpenCall, view: EndpointView, now: float) -> None:
+        if not call.route.idempotent or call.sends >= call.route.max_attempts:
+            return
+        objective_s = call.route.objective_s
+        usual_s = self._latencies(call.route).quantile(HEDGE_QUANTILE)
+        look_s = HEDGE_MAX_SHARE * objective_s if usual_s is None else usual_s
+        look_s = max(HEDGE_MIN_SHARE * objective_s, min(HEDGE_MAX_SHARE * objective_s, look_s))
+        self._timers.set(("look", call.arrived.call_id), now + look_s)
+
+    def _hedge(self, call: OpenCall, now: float) -> Iterator[Action]:
+        """Send a late idempotent request to a second endpoint, if that one will be quicker."""
+        if len(call.open_attempt_ids) != 1 or call.sends >= call.route.max_attempts:
+            return
+        chosen = self._choose(call, now)
+        if chosen is None or now + chosen[1] > call.ends:
+            return
+        (attempt_id,) = call.open_attempt_ids
+        attempt = self._attempt_by_id[attempt_id]
+        work_s = self._work_s(call.route)
+        left_s = max(work_s / 2, work_s - (now - attempt.sent_at))
+        if chosen[1] > left_s * max(SLOW_FACTOR, attempt.view.current_slowdown(now)):
+            return
+        if self._budget(call.service, now).spend(now):
+            yield from self._send_to(call, *chosen, "hedge", now)
+
+    def _on_load(self, host: str, report: LoadReport, now: float) -> Iterator[Action]:
+        view = self.fleet.get(report.endpoint)
+        if view is None or not view.learn(report, now) or view.slowdown < SLOW_FACTOR:
+            return
+        for attempt in self._attempt_by_id.values():
+            call = self._call_by_id[attempt.call_id]
+            if attempt.view is view and call.route.idempotent and len(call.open_attempt_ids) == 1:
+                self._timers.set(("look", attempt.call_id), now + SLOW_LOOK_S)
+        yield Record(
+            "server_slow",
+            (("endpoint", report.endpoint), ("slowdown", round(report.slowdown, 2))),
+        )
+
+    def _latencies(self, route: Route) -> Latencies:
+        return self._latencies_by_route.setdefault(route.name, Latencies())
+
+    def _work_s(self, route: Route) -> float:
+        usual_s = self._latencies(route).quantile(0.5)
+        return FIRST_GUESS_SHARE * route.objective_s if usual_s is None else usual_s
+
+    def _budget(self, service: str, now: float) -> Budget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            rules = self._rules
+            budget = Budget(rules.ratio, rules.per_s, rules.capacity, 1.0, now)
+            self._budget_by_service[service] = budget
+        return budget
+
+
+def _age_ms(since: float, now: float) -> int | None:
+    return None if since == float("-inf") else round((now - since) * 1000)
+
+
+def _refuse(arrived: RequestArrived, reason: str) -> Iterator[Action]:
+    fields = (
+        ("request_id", arrived.request_id),
+        ("host", arrived.host),
+        ("path", arrived.request.path[:64]),
+        ("reason", reason),
+    )
+    yield Record("request_refused", fields)
+    advice_ms = RETRY_AFTER_S * 1000
+    yield AnswerCall(arrived.call_id, Verdict.NOT_RUN, reason, retry_after_ms=advice_ms)
+
+
+def _ended(
+    call: OpenCall,
+    attempt_id: str,
+    attempt: OpenAttempt,
+    verdict: Verdict,
+    reason: str,
+    now: float,
+) -> Record:
+    fields = (
+        ("request_id", call.arrived.request_id),
+        ("attempt_id", attempt_id),
+        ("endpoint", attempt.view.endpoint.incarnation),
+        ("verdict", verdict.value),
+        ("reason", reason),
+        ("ms", round((now - attempt.sent_at) * 1000, 1)),
+    )
+    return Record("attempt_ended", fields)
+
+
+def _answered(call: OpenCall, verdict: Verdict, reason: str, endpoint: str, now: float) -> Record:
+    fields = (
+        ("request_id", call.arrived.request_id),
+        ("route", call.route.name),
+        ("service", call.service),
+        ("endpoint", endpoint),
+        ("verdict", verdict.value),
+        ("reason", reason),
+        ("attempts", call.sends),
+        ("ms", round((now - call.started) * 1000, 1)),
+    )
+    return Record("call_answered", fields)
--- /dev/null
+++ b/src/pollenroad/proxy/guard.py
@@ -0,0 +1,399 @@
+"""The guard core of transparent HTTP: the only way to the server on its VM. No I/O.
+
+A request that waits here has not run, so that it can be refused as such and tried elsewhere; what
+was handed to the server counts as run until the server says otherwise.
+"""
+
+from collections.abc import Iterator
+
+from msgspec.structs import replace
+
+from pollenroad.addresses import host_of
+from pollenroad.admission import AdmissionQueue, SlotShares, Waiting
+from pollenroad.atserver import AtServer
+from pollenroad.boundary import (
+    Action,
+    CancelAtServer,
+    PeerReceived,
+    Record,
+    RunAtServer,
+    SendPeer,
+    ServerAnswered,
+    ServerFailed,
+    ServerShed,
+    StopRequested,
+    Tick,
+)
+from pollenroad.closing import LEAVING, NOT_HERE, OUT_OF_SERVICE
+from pollenroad.handover import HandOverAges, SeenAttempts
+from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport
+from pollenroad.models import RequestClass
+from pollenroad.proxy.boundary import CheckServer, EntryLost, Event, ServerSeen, ServerSilent, TellLoad
+from pollenroad.proxy.directory import Directory
+from pollenroad.proxy.models import RegisteredEndpoint, ServiceRules
+from pollenroad.proxy.pacing import ColdPace
+from pollenroad.proxy.telling import Telling
+from pollenroad.timers import Timers
+from pollenroad.verdicts import Verdict
+
+BEAT_S = 0.05
+"""Time between two looks at the server's state, in seconds."""
+
+CHECK_S = 0.1
+"""Age of the newest word of the server after which its health is asked, in seconds."""
+
+CHECK_TIMEOUT_S = 1.0
+"""Time for a health check in seconds."""
+
+WAIT_SHARE = 0.3
+"""Share of the time left until the latency objective that an attempt may wait for a slot."""
+
+MIN_WAIT_S = 0.03
+"""Shortest such time in seconds."""
+
+SILENT_CHECKS = 3
+"""Health checks without an answer, one after the other, after which the server counts as down."""
+
+SEEN_S = 15.0
+"""Longest time left of any attempt, for which its id must be remembered, in seconds."""
+
+DEFAULT_SLOTS = 8
+"""Slots of a server that has not registered yet."""
+
+
+class Guard:
+    """State of one guard: its endpoint, what waits, and what runs at its server."""
+
+    def __init__(self, server: str, service: str, directory: Directory, now: float):
+        self.server = server
+        """Address of the server beside this guard."""
+        self.service = service
+        self._directory = directory
+        shares = SlotShares()
+        self._queue = AdmissionQueue(shares)
+        self._at_server = AtServer(shares)
+        self._seen = SeenAttempts()
+        self._ages = HandOverAges()
+        self._pace = ColdPace(now)
+        self._telling = Telling()
+        self._timers = Timers()
+        self._is_stopping = False
+        self._last_seen = ServerSeen()
+        self._seen_at = float("-inf")
+        self._is_checking = False
+        self._silent_checks = 0
+        self._sequence = 0
+        self._state = ""
+        self._incarnation = ""
+        self._timers.set(("beat", ""), now)
+
+    # --- What the shell reads ---
+
+    @property
+    def in_flight(self) -> int:
+        """Requests at the server now."""
+        return len(self._at_server)
+
+    @property
+    def queued(self) -> int:
+        """Attempts that wait for a slot."""
+        return len(self._queue)
+
+    def next_due(self) -> float | None:
+        """Return when `Tick` is next needed, in monotonic seconds."""
+        return self._timers.next_due()
+
+    def endpoint(self) -> RegisteredEndpoint | None:
+        """Return the endpoint beside this guard, if it has registered."""
+        return self._directory.at_server(self.server)
+
+    def closed_reason(self) -> str:
+        """Return why no new work is taken, or an empty string."""
+        endpoint = self.endpoint()
+        if self._is_stopping:
+            return LEAVING
+        if endpoint is None:
+            return NOT_HERE
+        if endpoint.is_leaving:
+            return LEAVING
+        if endpoint.failure_domain in self._directory.out_domains:
+            return OUT_OF_SERVICE
+        return ""
+
+    def _rules(self) -> ServiceRules | None:
+        configuration = self._directory.configuration
+        return configuration.service_by_name.get(self.service) if configuration else None
+
+    def _slots(self) -> int:
+        endpoint = self.endpoint()
+        return endpoint.slots if endpoint and endpoint.slots > 0 else DEFAULT_SLOTS
+
+    # --- Events ---
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what is to be done."""
+        self._ages.awake(now)
+        return [*self._actions(event, now), *self._fill(now), *self._tell(now)]
+
+    def _actions(self, event: Event, now: float) -> Iterator[Action]:
+        match event:
+            case PeerReceived(peer, Attempt() as attempt):
+                yield from self._on_attempt(peer, attempt, now)
+            case PeerReceived(_, CancelAttempt(attempt_id)):
+                yield from self._on_cancel(attempt_id, now)
+            case EntryLost(peer):
+                yield from self._on_entry_lost(peer)
+            case ServerAnswered(attempt_id, response):
+                answer = AttemptAnswer(attempt_id, Verdict.RAN.value, response=response)
+                yield from self._end(replace(answer, reached_server=True), now)
+            case ServerFailed(attempt_id, reached, reason):
+                verdict = Verdict.UNKNOWN if reached else Verdict.NOT_RUN
+                answer = AttemptAnswer(attempt_id, verdict.value, reason, reached_server=reached)
+                yield from self._end(answer, now)
+            case ServerShed(attempt_id):
+                answer = AttemptAnswer(attempt_id, Verdict.NOT_RUN.value, "shed")
+                yield from self._end(replace(answer, reached_server=True), now)
+            case ServerSeen():
+                yield from self._on_seen(event, now)
+            case ServerSilent(reason):
+                yield from self._on_silent(reason)
+            case StopRequested():
+                self._is_stopping = True
+            case Tick():
+                yield from self._on_tick(now)
+        if self._queue and (reason := self.closed_reason()):
+            yield from self._refuse_all(reason, now)
+
+    # --- Attempts ---
+
+    def _on_attempt(self, peer: str, attempt: Attempt, now: float) -> Iterator[Action]:
+        if attempt.attempt_id in self._seen or self._seen.is_full(now):
+            return
+        self._seen.add(attempt.attempt_id, SEEN_S, now)
+        self._telling.attempted(host_of(peer), now)
+        remaining_s = attempt.remaining_ms / 1000 - self._ages.age_s(attempt, now)
+        waiting = self._waiting(peer, attempt, remaining_s, now)
+        reason = self._refusal(attempt, remaining_s)
+        if reason:
+            yield from self._refuse(waiting, reason, now)
+            return
+        self._queue.add(waiting)
+        self._timers.set(("start", attempt.attempt_id), waiting.start_by)
+
+    def _waiting(self, peer: str, attempt: Attempt, remaining_s: float, now: float) -> Waiting:
+        rank = RequestClass(name=attempt.request_class, worth=1 / (1 + attempt.priority))
+        wait_s = WAIT_SHARE * min(remaining_s, max(attempt.objective_ms / 1000, remaining_s / 4))
+        start_by = now + max(MIN_WAIT_S, wait_s)
+        return Waiting(peer, attempt, rank, now, now + remaining_s, start_by)
+
+    def _refusal(self, attempt: Attempt, remaining_s: float) -> str:
+        if reason := self.closed_reason():
+            return reason
+        if attempt.incarnation and attempt.incarnation != self.endpoint().incarnation:
+            return NOT_HERE
+        if remaining_s <= 0:
+            return "deadline"
+        if self._silent_checks >= SILENT_CHECKS and not self.in_flight:
+            return "server-down"
+        return ""
+
+    def _refuse_all(self, reason: str, now: float) -> Iterator[Action]:
+        for waiting in self._queue.clear():
+            yield from self._refuse(waiting, reason, now)
+
+    def _refuse(self, waiting: Waiting, reason: str, now: float) -> Iterator[Action]:
+        attempt = waiting.attempt
+        self._timers.cancel(("start", attempt.attempt_id))
+        fields = (
+            ("request_id", attempt.request_id),
+            ("attempt_id", attempt.attempt_id),
+            ("reason", reason),
+            ("waited_ms", round((now - waiting.arrived) * 1000)),
+            ("in_flight", self.in_flight),
+            ("queued", self.queued),
+            ("revision", self._directory.revision),
+        )
+        yield Record("attempt_refused", fields)
+        answer = AttemptAnswer(attempt.attempt_id, Verdict.NOT_RUN.value, reason)
+        yield self._send(waiting.peer, answer, now)
+
+    def _fill(self, now: float) -> Iterator[Action]:
+        """Start what waits, while there are slots and, for a cold server, tokens."""
+        rules = self._rules()
+        rate_per_s = rules.cold_per_s if rules else 0.0
+        slots = self._slots()
+        while self._queue and self.in_flight < slots:
+            if rate_per_s and not self._pace.take(rate_per_s, now):
+                self._timers.set(("token", ""), now + self._pace.next_token_s(rate_per_s))
+                return
+            yield from self._start(self._queue.take(slots, now), now)
+
+    def _start(self, waiting: Waiting, now: float) -> Iterator[Action]:
+        attempt = waiting.attempt
+        remaining_s = waiting.deadline - now
+        self._timers.cancel(("start", attempt.attempt_id))
+        if remaining_s <= 0:
+            yield from self._refuse(waiting, "deadline", now)
+            return
+        self._timers.set(("deadline", attempt.attempt_id), waiting.deadline)
+        self._at_server.start(waiting, now)
+        fields = (
+            ("request_id", attempt.request_id),
+            ("attempt_id", attempt.attempt_id),
+            ("waited_ms", round((now - waiting.arrived) * 1000)),
+            ("remaining_ms", round(remaining_s * 1000)),
+            ("in_flight", self.in_flight),
+            ("slowdown", round(self._last_seen.slowdown, 2)),
+            ("cold", self._pace.is_cold(now)),
+        )
+        yield Record("attempt_started", fields)
+        yield RunAtServer(attempt, remaining_s)
+
+    def _on_cancel(self, attempt_id: str, now: float) -> Iterator[Action]:
+        self._seen.add(attempt_id, SEEN_S, now)
+        if self._queue.remove(attempt_id):
+            self._timers.cancel(("start", attempt_id))
+            return
+        running = self._at_server.get(attempt_id)
+        if running is not None and running.is_wanted:
+            running.is_wanted = False
+            self._timers.cancel(("deadline", attempt_id))
+            yield CancelAtServer(attempt_id)
+
+    def _on_entry_lost(self, peer: str) -> Iterator[Action]:
+        """Stop idempotent work whose answer nobody takes; other work is better finished."""
+        for attempt_id, running in self._at_server.items():
+            waiting = running.waiting
+            if waiting.peer == peer and waiting.attempt.idempotent and running.is_wanted:
+                running.is_wanted = False
+                self._timers.cancel(("deadline", attempt_id))
+                yield CancelAtServer(attempt_id)
+
+    def _end(self, answer: AttemptAnswer, now: float) -> Iterator[Action]:
+        attempt_id = answer.attempt_id
+        if self._at_server.get(attempt_id) is None:
+            return
+        running = self._at_server.end(attempt_id, now)
+        self._timers.cancel(("deadline", attempt_id))
+        status = answer.response.status if answer.response else 0
+        fields = (
+            ("request_id", running.waiting.attempt.request_id),
+            ("attempt_id", attempt_id),
+            ("verdict", answer.verdict),
+            ("reason", answer.reason),
+            ("status", status),
+            ("ms", round((now - running.started) * 1000, 1)),
+            ("wanted", running.is_wanted),
+        )
+        yield Record("attempt_done", fields)
+        if running.is_wanted:
+            yield self._send(running.waiting.peer, answer, now)
+
+    def _send(self, peer: str, answer: AttemptAnswer, now: float) -> Action:
+        return SendPeer(peer, replace(answer, load=self._report(now)))
+
+    # --- The server ---
+
+    def _on_seen(self, seen: ServerSeen, now: float) -> Iterator[Action]:
+        self._is_checking = False
+        self._silent_checks = 0
+        self._last_seen = seen
+        self._seen_at = now
+        if seen.cold_s is not None and self._pace.set_cold(seen.cold_s, now):
+            yield Record("server_cold", (("cold_s", seen.cold_s), ("source", "server")))
+
+    def _on_silent(self, reason: str) -> Iterator[Action]:
+        self._is_checking = False
+        self._silent_checks += 1
+        if self._silent_checks == SILENT_CHECKS:
+            yield Record("server_silent", (("reason", reason), ("checks", SILENT_CHECKS)))
+
+    def _note_incarnation(self, now: float) -> Iterator[Action]:
+        endpoint = self.endpoint()
+        if endpoint is None or endpoint.incarnation == self._incarnation:
+            return
+        self._incarnation = endpoint.incarnation
+        self._silent_checks = 0
+        if endpoint.cold_s > 0 and self._pace.set_cold(endpoint.cold_s, now):
+            yield Record("server_cold", (("cold_s", endpoint.cold_s), ("source", "registration")))
+
+    # --- Time ---
+
+    def _on_tick(self, now: float) -> Iterator[Action]:
+        for kind, key in list(self._timers.pop_due(now)):
+            match kind:
+                case "start":
+                    if waiting := self._queue.remove(key):
+                        yield from self._refuse(waiting, "overloaded", now)
+                case "deadline":
+                    yield from self._on_deadline(key, now)
+                case "beat":
+                    self._timers.set(("beat", ""), now + BEAT_S)
+                    yield from self._note_incarnation(now)
+                    yield from self._check(now)
+
+    def _on_deadline(self, attempt_id: str, now: float) -> Iterator[Action]:
+        running = self._at_server.get(attempt_id)
+        if running is None or not running.is_wanted:
+            return
+        running.is_wanted = False
+        answer = AttemptAnswer(
+            attempt_id, Verdict.UNKNOWN.value, "deadline", reached_server=True
+        )
+        yield CancelAtServer(attempt_id)
+        yield self._send(running.waiting.peer, answer, now)
+
+    def _check(self, now: float) -> Iterator[Action]:
+        rules = self._rules()
+        if rules is None or self._is_checking or now - self._seen_at < CHECK_S:
+            return
+        self._is_checking = True
+        yield CheckServer(rules.health_path, CHECK_TIMEOUT_S)
+
+    # --- Load ---
+
+    def _report(self, now: float) -> LoadReport:
+        endpoint = self.endpoint()
+        self._sequence += 1
+        return LoadReport(
+            service=self.service,
+            endpoint=endpoint.incarnation if endpoint else "",
+            in_flight=self.in_flight,
+            queued=self.queued,
+            bound=self._slots(),
+            state=self._report_state(now),
+            sequence=self._sequence,
+            slowdown=self._last_seen.slowdown,
+        )
+
+    def _report_state(self, now: float) -> str:
+        match self.closed_reason():
+            case "":
+                pass
+            case reason:
+                return "draining" if reason == LEAVING else "out"
+        if self._silent_checks >= SILENT_CHECKS:
+            return "down"
+        return "cold" if self._pace.is_cold(now) else "serving"
+
+    def _tell(self, now: float) -> Iterator[Action]:
+        report = self._report(now)
+        if report.state != self._state:
+            fields = (
+                ("state", report.state),
+                ("before", self._state),
+                ("reason", self.closed_reason()),
+                ("endpoint", report.endpoint),
+                ("revision", self._directory.revision),
+            )
+            self._state = report.state
+            yield Record("guard_state", fields)
+        if self._telling.is_news(report, now):
+            hosts = self._telling.hosts(now)
+            if hosts:
+                yield TellLoad(hosts, report)
+
+
+def make_guard(server: str, service: str, directory: Directory, now: float) -> Guard:
+    """Make the guard of the server of `service` at the address `server`."""
+    return Guard(server, service, directory, now)
--- /dev/null
+++ b/src/pollenroad/proxy/http1.py
@@ -0,0 +1,206 @@
+"""HTTP/1.1 over gevent sockets, framed by h11: the client side, and a small server for operators.
+
+h11 refuses what RFC 9112 refuses. That matters here: an answer that is cut off or spoilt must not
+look whole, and bytes behind an answer belong to no request.
+"""
+
+import socket
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import gevent
+import h11
+from gevent import socket as gsocket
+from gevent.server import StreamServer
+
+from pollenroad.addresses import split_address
+from pollenroad.exceptions import ExchangeError
+from pollenroad.logs import log
+from pollenroad.sockets import set_liveness_options, set_no_delay
+
+READ_BYTES = 65_536
+"""Bytes asked of a socket at once."""
+
+MAX_REPLY_BYTES = 33_554_432
+"""Longest body of an answer that is taken."""
+
+MAX_STRAY_REPLIES = 4
+"""Answers to earlier requests that are passed over on one connection, at the most."""
+
+OPERATOR_IDLE_S = 30.0
+"""Time without a request after which an operator's connection is closed, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    """Names in lower case."""
+    body: bytes
+    can_reuse: bool
+    """Whether the connection may carry another exchange."""
+
+    def header(self, name: str) -> str:
+        """Return the first value of a header, or an empty string."""
+        lower = name.lower()
+        return next((value for key, value in self.headers if key == lower), "")
+
+
+class ClientConnection:
+    """One connection to an HTTP server, with one exchange at a time."""
+
+    def __init__(self, address: str, timeout_s: float):
+        """Connect.
+
+        Raises:
+            ExchangeError: If the connection cannot be opened; nothing has been sent.
+        """
+        try:
+            self._sock = gsocket.create_connection(split_address(address), timeout_s)
+            self._sock.settimeout(None)
+            set_liveness_options(self._sock)
+        except OSError as error:
+            raise ExchangeError(f"no connection to {address}: {error}", reached=False) from error
+        self._rest = b""
+
+    def close(self) -> None:
+        """Close the connection, which a server sees as a cancellation."""
+        self._sock.close()
+
+    def is_quiet(self) -> bool:
+        """Tell whether the connection is open and nothing has arrived on it unasked."""
+        try:
+            self._sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def exchange(
+        self,
+        method: str,
+        target: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes = b"",
+        is_stray: Callable[[Reply], bool] = lambda reply: False,
+    ) -> Reply:
+        """Send a request and read its whole answer.
+
+        Args:
+            method: HTTP method.
+            target: Path with query.
+            headers: Header fields, without those that frame the body.
+            body: Body; sent with its length.
+            is_stray: Tells whether an answer belongs to an earlier request; it is passed over.
+
+        Raises:
+            ExchangeError: If the answer is not whole or not HTTP; the request may have run.
+        """
+        fields = [*headers]
+        if body or method in ("POST", "PUT", "PATCH"):
+            fields.append(("Content-Length", str(len(body))))
+        request = h11.Request(method=method, target=target, headers=fields)
+        try:
+            self._sock.sendall(_encode(h11.Connection(h11.CLIENT), request, body))
+            for _ in range(MAX_STRAY_REPLIES):
+                reply = self._read_reply(request, body)
+                if not is_stray(reply):
+                    return reply
+                if not reply.can_reuse and not self._rest:
+                    break
+        except (OSError, h11.ProtocolError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            raise ExchangeError(reason, reached=True) from error
+        raise ExchangeError("only answers to other requests", reached=True)
+
+    def _read_reply(self, request: h11.Request, body: bytes) -> Reply:
+        connection = h11.Connection(h11.CLIENT)
+        _encode(connection, request, body)
+        if self._rest:
+            connection.receive_data(self._rest)
+        response, parts, size = None, [], 0
+        while True:
+            match connection.next_event():
+                case h11.NEED_DATA:
+                    connection.receive_data(self._sock.recv(READ_BYTES))
+                case h11.Response() as response:
+                    pass
+                case h11.Data(data=data):
+                    parts.append(bytes(data))
+                    size += len(data)
+                    if size > MAX_REPLY_BYTES:
+                        raise ExchangeError("answer too long", reached=True)
+                case h11.EndOfMessage():
+                    break
+                case h11.ConnectionClosed():
+                    raise ExchangeError("closed without an answer", reached=True)
+        self._rest = connection.trailing_data[0]
+        can_reuse = connection.their_state is h11.DONE and not self._rest
+        headers = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in response.headers)
+        return Reply(response.status_code, headers, b"".join(parts), can_reuse)
+
+
+def _encode(connection: h11.Connection, request: h11.Request, body: bytes) -> bytes:
+    data = connection.send(request)
+    if body:
+        data += connection.send(h11.Data(data=body))
+    return data + connection.send(h11.EndOfMessage())
+
+
+# --- A server for operators and the platform's checks ---
+
+Page = tuple[int, str, bytes]
+"""Status, content type and body."""
+
+
+def serve_pages(address: str, pages: dict[str, Callable[[], Page]]) -> StreamServer:
+    """Return a server, not yet started, that answers GET requests by path.
+
+    Args:
+        address: Address to listen at, `HOST:PORT`.
+        pages: Maker of the answer for each path.
+    """
+
+    def handle(sock, _remote) -> None:
+        try:
+            _serve_connection(sock, pages)
+        except (OSError, gevent.Timeout, h11.ProtocolError) as error:
+            log("operator_connection_lost", reason=f"{type(error).__name__}: {error}")
+        finally:
+            sock.close()
+
+    return StreamServer(split_address(address), handle, backlog=64)
+
+
+def _serve_connection(sock, pages: dict[str, Callable[[], Page]]) -> None:
+    set_no_delay(sock)
+    sock.settimeout(OPERATOR_IDLE_S)
+    connection = h11.Connection(h11.SERVER)
+    path = ""
+    while True:
+        match connection.next_event():
+            case h11.NEED_DATA:
+                connection.receive_data(sock.recv(READ_BYTES))
+            case h11.Request(target=target):
+                path = target.decode("latin-1").partition("?")[0]
+            case h11.EndOfMessage():
+                sock.sendall(_page_bytes(connection, pages.get(path, _not_found)()))
+                if connection.our_state is not h11.DONE:
+                    return
+                connection.start_next_cycle()
+            case h11.ConnectionClosed() | h11.PAUSED:
+                return
+
+
+def _page_bytes(connection: h11.Connection, page: Page) -> bytes:
+    status, content_type, body = page
+    fields = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    data = connection.send(h11.Response(status_code=status, headers=fields))
+    return data + connection.send(h11.Data(data=body)) + connection.send(h11.EndOfMessage())
+
+
+def _not_found() -> Page:
+    return 404, "text/plain", b"no such page\n"
--- /dev/null
+++ b/src/pollenroad/proxy/notices.py
@@ -0,0 +1,109 @@
+"""Load reports between daemons, as small datagrams without acknowledgement."""
+
+from collections.abc import Callable
+
+import gevent
+import msgspec
+from gevent import socket as gsocket
+
+from pollenroad.addresses import split_address
+from pollenroad.logs import log
+from pollenroad.messages import LoadReport
+from pollenroad.proxy.boundary import Event, LoadHeard
+
+MAX_DATAGRAM_BYTES = 1_400
+"""Longest datagram, below the usual size of a packet."""
+
+
+class _Notice(msgspec.Struct, frozen=True, array_like=True):
+    """A load report without names, as it goes over the network."""
+
+    service: str
+    endpoint: str
+    in_flight: int
+    queued: int
+    bound: int
+    state: str
+    sequence: int
+    slowdown: float
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Notice)
+
+
+def encode_notice(report: LoadReport) -> bytes:
+    """Return the datagram of a load report."""
+    return _ENCODER.encode(
+        _Notice(
+            "",
+            report.endpoint,
+            report.in_flight,
+            report.queued,
+            report.bound,
+            report.state,
+            report.sequence,
+            round(report.slowdown, 2),
+        )
+    )
+
+
+def decode_notice(data: bytes) -> LoadReport:
+    """Return the load report in a datagram.
+
+    Raises:
+        msgspec.DecodeError: If the datagram is malformed.
+    """
+    notice = _DECODER.decode(data)
+    return LoadReport(
+        service=notice.service,
+        endpoint=notice.endpoint,
+        in_flight=notice.in_flight,
+        queued=notice.queued,
+        bound=notice.bound,
+        state=notice.state,
+        sequence=notice.sequence,
+        slowdown=notice.slowdown,
+    )
+
+
+class Notices:
+    """The socket of a daemon for load reports.
+
+    Args:
+        address: Address to listen at; the port is the same on all VMs.
+        post: Takes events for the cores.
+    """
+
+    def __init__(self, address: str, post: Callable[[Event], None]):
+        self._host, self._port = split_address(address)
+        self._post = post
+        self._sock = gsocket.socket(gsocket.AF_INET, gsocket.SOCK_DGRAM)
+        self.failed = 0
+        """Datagrams that the kernel did not take."""
+
+    def start(self) -> None:
+        """Listen for reports."""
+        self._sock.bind((self._host, self._port))
+        gevent.spawn(self._read)
+
+    def tell(self, hosts: tuple[str, ...], report: LoadReport) -> None:
+        """Send a report to the daemons on other VMs; never blocks."""
+        data = encode_notice(report)
+        for host in hosts:
+            if host == self._host:
+                self._post(LoadHeard(host, report))
+                continue
+            try:
+                self._sock._sock.sendto(data, gsocket.MSG_DONTWAIT, (host, self._port))
+            except OSError as error:
+                self.failed += 1
+                log("notice_unsent", host=host, reason=str(error), unsent=self.failed)
+
+    def _read(self) -> None:
+        while True:
+            data, (host, _port) = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            try:
+                self._post(LoadHeard(host, decode_notice(data)))
+            except msgspec.DecodeError as error:
+                log("notice_refused", host=host, reason=str(error))
--- /dev/null
+++ b/src/pollenroad/proxy/pacing.py
@@ -0,0 +1,52 @@
+"""How fast a cold server may be given requests. No I/O."""
+
+BURST = 2.0
+"""Requests that a paced server may get at once."""
+
+START_TOKENS = 1.0
+"""Requests that a guard which has just started may hand over at once: the one before it may have
+used up the rest."""
+
+
+class ColdPace:
+    """Token bucket over the requests of one cold server.
+
+    The guard is the only way to its server, so that the rate holds for the whole fleet.
+    """
+
+    def __init__(self, now: float):
+        self._tokens = START_TOKENS
+        self._updated = now
+        self._cold_until = float("-inf")
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the server is cold."""
+        return now < self._cold_until
+
+    def set_cold(self, cold_s: float, now: float) -> bool:
+        """Take how much longer the server is cold; tell whether it has just become cold."""
+        was_cold = self.is_cold(now)
+        self._cold_until = now + cold_s
+        return cold_s > 0 and not was_cold
+
+    def until(self) -> float:
+        """Return when the server stops being cold, in monotonic seconds."""
+        return self._cold_until
+
+    def take(self, rate_per_s: float, now: float) -> bool:
+        """Take one token; tell whether there was one. A warm server needs none."""
+        self._refill(rate_per_s, now)
+        if not self.is_cold(now):
+            return True
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def next_token_s(self, rate_per_s: float) -> float:
+        """Return the time until the next token, in seconds."""
+        return max(0.0, 1 - self._tokens) / rate_per_s
+
+    def _refill(self, rate_per_s: float, now: float) -> None:
+        self._tokens = min(BURST, self._tokens + rate_per_s * max(0.0, now - self._updated))
+        self._updated = now
--- /dev/null
+++ b/src/pollenroad/proxy/upstream.py
@@ -0,0 +1,222 @@
+"""The server side of a guard's daemon: exchanges with the server on this VM.
+
+Each exchange is a task of its own. An answer counts only if it is whole, matches its request and
+carries the server's signature; anything else ends as a failure, and the connection is closed.
+"""
+
+import time
+from collections import deque
+from collections.abc import Callable
+
+import gevent
+
+from pollenroad.boundary import ServerAnswered, ServerFailed, ServerShed
+from pollenroad.exceptions import ExchangeError
+from pollenroad.headers import end_to_end
+from pollenroad.logs import log
+from pollenroad.messages import Attempt, Response
+from pollenroad.proxy.boundary import Event, ServerSeen, ServerSilent
+from pollenroad.proxy.dialect import Dialect
+from pollenroad.proxy.http1 import ClientConnection, Reply
+
+CONNECT_TIMEOUT_S = 0.5
+"""Time to open a connection to a server on the same VM, in seconds."""
+
+IDLE_REUSE_S = 4.0
+"""Idle time after which a connection is not used again, in seconds: below the usual idle timeout of
+servers, so that a request does not cross the server's close."""
+
+IDLE_REUSE_ONCE_S = 0.3
+"""The same for a request that must not run twice, in seconds. A server that has dropped an idle
+connection leaves open whether such a request ran."""
+
+REFUSALS = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that the request has not run."""
+
+MISDIRECTED = 421
+"""Status of a server that is not the incarnation asked for; it never runs the request."""
+
+
+class Upstream:
+    """Exchanges with one server.
+
+    Args:
+        server: Address of the server.
+        dialect: Names of header fields.
+        post: Takes events for the cores.
+    """
+
+    def __init__(self, server: str, dialect: Dialect, post: Callable[[Event], None]):
+        self.server = server
+        self._dialect = dialect
+        self._post = post
+        self._idle: deque[tuple[float, ClientConnection]] = deque()
+        self._task_by_attempt: dict[str, gevent.Greenlet] = {}
+
+    # --- What the daemon calls ---
+
+    def run(self, attempt: Attempt, timeout_s: float) -> None:
+        """Start the exchange of one attempt; its end is posted as an event."""
+        task = gevent.spawn(self._run, attempt, timeout_s)
+        self._task_by_attempt[attempt.attempt_id] = task
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop an exchange and close its connection, which the server sees as a cancellation."""
+        task = self._task_by_attempt.pop(attempt_id, None)
+        if task is not None:
+            gevent.spawn(self._stop, task, attempt_id)
+
+    def check(self, path: str, timeout_s: float) -> None:
+        """Ask for the server's health; the answer is posted as an event."""
+        gevent.spawn(self._check, path, timeout_s)
+
+    def move(self, server: str) -> None:
+        """Use a server at another address from now on."""
+        self.server = server
+        while self._idle:
+            self._idle.pop()[1].close()
+
+    # --- Exchanges ---
+
+    def _stop(self, task: gevent.Greenlet, attempt_id: str) -> None:
+        was_started = bool(task)
+        task.kill(block=False)
+        if not was_started:
+            self._post(ServerFailed(attempt_id, reached=False, reason="cancelled"))
+
+    def _run(self, attempt: Attempt, timeout_s: float) -> None:
+        event = ServerFailed(attempt.attempt_id, reached=True, reason="cancelled")
+        try:
+            with gevent.Timeout(timeout_s):
+                event = self._outcome(attempt, timeout_s)
+        except gevent.Timeout:
+            event = ServerFailed(attempt.attempt_id, reached=True, reason="deadline")
+        except ExchangeError as error:
+            event = ServerFailed(attempt.attempt_id, error.reached, str(error))
+        except Exception as error:
+            log("internal_error", where="upstream", reason=repr(error))
+            event = ServerFailed(attempt.attempt_id, reached=True, reason="internal-error")
+        finally:
+            self._task_by_attempt.pop(attempt.attempt_id, None)
+            self._post(event)
+
+    def _outcome(self, attempt: Attempt, timeout_s: float) -> Event:
+        started = time.monotonic()
+        connection = self._take(IDLE_REUSE_S if attempt.idempotent else IDLE_REUSE_ONCE_S)
+        left_s = timeout_s - (time.monotonic() - started)
+        request = attempt.request
+        reply = self._exchange(
+            connection,
+            request.method,
+            request.path,
+            self._request_headers(attempt, left_s),
+            request.body,
+            lambda reply: self._is_stray(reply, attempt),
+        )
+        self._note(reply)
+        return self._judge(attempt, reply)
+
+    def _exchange(self, connection: ClientConnection, *request) -> Reply:
+        """Make one exchange; a connection whose exchange did not end whole is closed."""
+        reply = None
+        try:
+            reply = connection.exchange(*request)
+        finally:
+            if reply is not None and reply.can_reuse:
+                self._idle.append((time.monotonic(), connection))
+            else:
+                connection.close()
+        return reply
+
+    def _take(self, longest_idle_s: float) -> ClientConnection:
+        while self._idle:
+            since, connection = self._idle.pop()
+            if time.monotonic() - since > longest_idle_s:
+                self._idle.append((since, connection))
+                self._close_old()
+                break
+            if connection.is_quiet():
+                return connection
+            connection.close()
+        return ClientConnection(self.server, CONNECT_TIMEOUT_S)
+
+    def _close_old(self) -> None:
+        oldest = time.monotonic() - IDLE_REUSE_S
+        while self._idle and self._idle[0][0] < oldest:
+            self._idle.popleft()[1].close()
+
+    def _request_headers(self, attempt: Attempt, left_s: float) -> list[tuple[str, str]]:
+        dialect = self._dialect
+        ours = dialect.set_here
+        fields = [pair for pair in attempt.request.headers if pair[0].lower() not in ours]
+        fields.append((dialect.deadline_ms, str(max(1, int(left_s * 1000)))))
+        if attempt.incarnation:
+            fields.append((dialect.expected_incarnation, attempt.incarnation))
+        if attempt.caller:
+            fields.append((dialect.caller, attempt.caller))
+        return fields
+
+    # --- Answers ---
+
+    def _is_stray(self, reply: Reply, attempt: Attempt) -> bool:
+        stated = reply.header(self._dialect.request_id)
+        return bool(stated) and stated != attempt.request_id
+
+    def _judge(self, attempt: Attempt, reply: Reply) -> Event:
+        """Decide what an answer proves; see `pollenroad.verdicts`."""
+        dialect, attempt_id = self._dialect, attempt.attempt_id
+        if reply.header(dialect.not_run) or reply.status == MISDIRECTED:
+            return ServerShed(attempt_id)
+        if reply.status in REFUSALS:
+            reason = f"{reply.status} without proof that the request did not run"
+            return ServerFailed(attempt_id, reached=True, reason=reason)
+        if not reply.header(dialect.signature):
+            return ServerFailed(attempt_id, reached=True, reason="answer without a signature")
+        if reply.header(dialect.request_id) != attempt.request_id:
+            return ServerFailed(attempt_id, reached=True, reason="answer without its request's id")
+        if reply.header("content-encoding"):
+            return ServerFailed(attempt_id, reached=True, reason="answer with an encoding")
+        hidden = {dialect.load.lower(), dialect.cold_ms.lower(), "content-length"}
+        fields = (pair for pair in end_to_end(reply.headers) if pair[0] not in hidden)
+        return ServerAnswered(attempt_id, Response(reply.status, tuple(fields), reply.body))
+
+    # --- Health ---
+
+    def _check(self, path: str, timeout_s: float) -> None:
+        event = ServerSilent("no answer")
+        try:
+            with gevent.Timeout(timeout_s):
+                connection = self._take(IDLE_REUSE_S)
+                reply = self._exchange(connection, "GET", path, [("Host", self.server)])
+            event = self._seen(reply)
+        except gevent.Timeout:
+            event = ServerSilent("no answer in time")
+        except ExchangeError as error:
+            event = ServerSilent(str(error))
+        finally:
+            self._post(event)
+
+    def _note(self, reply: Reply) -> None:
+        if reply.header(self._dialect.load):
+            self._post(self._seen(reply))
+
+    def _seen(self, reply: Reply) -> ServerSeen:
+        running, waiting, slowdown = parse_load(reply.header(self._dialect.load))
+        cold = reply.header(self._dialect.cold_ms)
+        cold_s = int(cold) / 1000 if cold.isdigit() else None
+        incarnation = reply.header(self._dialect.incarnation)
+        return ServerSeen(running, waiting, slowdown, cold_s, incarnation)
+
+
+def parse_load(text: str) -> tuple[int, int, float]:
+    """Read a load header: running, waiting, slots and, if stated, slowness in percent.
+
+    Returns:
+        Requests running, requests waiting, and the slowdown as a multiple of the usual time. A
+        header that is missing or malformed tells nothing: 0, 0 and 1.0.
+    """
+    parts = text.split(",")
+    if len(parts) < 3 or not all(part.strip().isdigit() for part in parts):
+        return 0, 0, 1.0
+    slowdown = int(parts[3]) / 100 if len(parts) > 3 else 1.0
+    return int(parts[0]), int(parts[1]), max(0.01, slowdown)
