Hand a request back where the server is slower than the entry knew

Ruled out: lost datagrams (the views had never had a report). Change: guards of small fleets tell all entries; an attempt that waits has not run, so the guard hands it back with its load where the server is slower than assumed or full; leaving the own failure domain costs a share of the objective.

--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -93,6 +93,9 @@
     """Time left until the latency objective, in milliseconds; 0 if it has none or is late."""
     priority: int = 0
     """Rank under overload; 0 is the highest."""
+    assumed_slowdown: float = 0.0
+    """Slowdown of the server that the entry assumed; 0 if the guard is not to hand the attempt back
+    where it knows better."""
 
 
 class AttemptAnswer(Message, tag="answer"):
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -24,13 +24,17 @@
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport, Response
 from pollenroad.proxy.boundary import Event, LoadHeard, RequestArrived
 from pollenroad.proxy.directory import Directory
-from pollenroad.proxy.fleet import EndpointView, make_fleet
+from pollenroad.proxy.fleet import EndpointView, Work, make_fleet
+from pollenroad.proxy.guard import FULL, SLOW
 from pollenroad.proxy.models import Route
 from pollenroad.proxy.routes import Splitter
 from pollenroad.retries import Budget
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict, may_retry
 
+HAND_BACKS = frozenset({SLOW, FULL})
+"""Refusals by which a guard tells the entry what it did not know yet."""
+
 SERVER_ERROR = 500
 """Lowest HTTP status that counts as a failure of the server."""
 
@@ -40,6 +44,9 @@
 HOLD_STEP_S = 0.04
 """Time between two looks for an endpoint, in seconds."""
 
+MAX_HAND_BACKS = 2
+"""Times that a guard may hand a request back because its server is slower than the entry knew."""
+
 MAX_REFUSALS = 6
 """Refusals by guards after which a request is given up, so that it does not circle."""
 
@@ -81,6 +88,7 @@
     sends: int = 0
     """Attempts that are open or have reached a server."""
     refusals: int = 0
+    hand_backs: int = 0
     maybe_ran: bool = False
     tried: set[str] = field(default_factory=set)
     open_attempt_ids: set[str] = field(default_factory=set)
@@ -197,7 +205,8 @@
             (endpoint, directory.is_doubtful(endpoint.incarnation))
             for endpoint in directory.endpoints(call.service)
         )
-        return self.fleet.choose(candidates, call.tried, self._work_s(call.route), now)
+        work = Work(self._work_s(call.route), call.route.objective_s)
+        return self.fleet.choose(candidates, call.tried, work, now)
 
     def _send_to(
         self, call: OpenCall, view: EndpointView, cost_s: float, role: str, now: float
@@ -228,6 +237,7 @@
 
     def _attempt(self, call: OpenCall, view: EndpointView, attempt_id: str, now: float) -> Attempt:
         route = call.route
+        is_last = call.hand_backs >= MAX_HAND_BACKS
         return Attempt(
             attempt_id=attempt_id,
             request_id=call.arrived.request_id,
@@ -244,6 +254,7 @@
             caller=self.caller,
             objective_ms=max(0.0, call.started + route.objective_s - now) * 1000,
             priority=route.priority,
+            assumed_slowdown=0.0 if is_last else max(1.0, view.current_slowdown(now)),
         )
 
     def _hold(self, call: OpenCall, now: float) -> Iterator[Action]:
@@ -287,7 +298,9 @@
             case Verdict.NOT_RUN:
                 if answer.retry_after_ms:
                     call.retry_after_s = answer.retry_after_ms / 1000
-                yield from self._on_not_run(call, answer.reason, answer.reached_server, now)
+                endpoint = attempt.view.endpoint.incarnation
+                reached = answer.reached_server
+                yield from self._on_not_run(call, endpoint, answer.reason, reached, now)
 
     def _on_ran(
         self, call: OpenCall, attempt: OpenAttempt, response: Response, now: float
@@ -306,9 +319,13 @@
         yield from self._again_or_finish(call, Verdict.UNKNOWN, reason, now)
 
     def _on_not_run(
-        self, call: OpenCall, reason: str, reached_server: bool, now: float
+        self, call: OpenCall, endpoint: str, reason: str, reached_server: bool, now: float
     ) -> Iterator[Action]:
         call.refusals += 1
+        if reason in HAND_BACKS:
+            call.refusals -= 1
+            call.hand_backs += 1
+            call.tried.discard(endpoint)
         if reached_server:
             yield from self._again_or_finish(call, Verdict.NOT_RUN, reason, now)
             return
@@ -347,7 +364,7 @@
         call, attempt = closed
         attempt.view.unreachable(now)
         yield _ended(call, attempt_id, attempt, Verdict.NOT_RUN, "unreachable", now)
-        yield from self._on_not_run(call, "unreachable", False, now)
+        yield from self._on_not_run(call, "", "unreachable", False, now)
 
     def _on_peer_lost(self, peer: str, now: float) -> Iterator[Action]:
         for view in self.fleet.at(peer):
@@ -444,7 +461,8 @@
 
     def _on_load(self, host: str, report: LoadReport, now: float) -> Iterator[Action]:
         view = self.fleet.get(report.endpoint)
-        if view is None or not view.learn(report, now) or view.slowdown < SLOW_FACTOR:
+        was_slow = view is not None and view.current_slowdown(now) >= SLOW_FACTOR
+        if view is None or not view.learn(report, now) or view.slowdown < SLOW_FACTOR or was_slow:
             return
         for attempt in self._attempt_by_id.values():
             call = self._call_by_id[attempt.call_id]
--- a/src/pollenroad/proxy/fleet.py
+++ b/src/pollenroad/proxy/fleet.py
@@ -2,7 +2,7 @@
 
 An entry expects of each endpoint the time that a request would take there: the usual work, times
 the slowdown that its guard reported, plus the wait for a slot. It takes the least, and leaves its
-own failure domain only where that saves more than `REMOTE_COST_S`.
+own failure domain only where that saves more than `REMOTE_COST_SHARE` of the latency objective.
 """
 
 import random
@@ -12,9 +12,9 @@
 from pollenroad.messages import LoadReport
 from pollenroad.proxy.models import RegisteredEndpoint
 
-REMOTE_COST_S = 0.06
-"""Expected saving that a request must have in another failure domain, in seconds. Bytes between
-failure domains are the dearest resource of the deployments this is made for."""
+REMOTE_COST_SHARE = 0.2
+"""Expected saving that a request must have in another failure domain, as a share of its latency
+objective. Bytes between failure domains are the dearest resource of the users' deployments."""
 
 CLOSE_SHARE = 0.08
 """Endpoints whose cost is within this share of the least are chosen among at random, so that
@@ -136,6 +136,16 @@
         self.shun_until = now + self.shun_s
 
 
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What a request asks for."""
+
+    usual_s: float
+    """Usual time of such requests, in seconds."""
+    objective_s: float
+    """Latency objective in seconds."""
+
+
 class Fleet:
     """Views of all endpoints that an entry has met."""
 
@@ -169,18 +179,18 @@
         """Return the views of endpoints behind a guard."""
         return [v for v in self._view_by_incarnation.values() if v.endpoint.guard == peer]
 
-    def cost_s(self, view: EndpointView, work_s: float, is_doubtful: bool, now: float) -> float:
+    def cost_s(self, view: EndpointView, work: Work, is_doubtful: bool, now: float) -> float:
         """Return the expected time at an endpoint with all that speaks against it, in seconds."""
-        cost_s = view.expected_s(work_s, now) + FAILURE_COST_S * view.failure_share(now)
+        cost_s = view.expected_s(work.usual_s, now) + FAILURE_COST_S * view.failure_share(now)
         if view.endpoint.failure_domain != self._failure_domain:
-            cost_s += REMOTE_COST_S
+            cost_s += REMOTE_COST_SHARE * work.objective_s
         return cost_s + DOUBTFUL_COST_S * is_doubtful
 
     def choose(
         self,
         candidates: Iterable[tuple[RegisteredEndpoint, bool]],
         tried: frozenset[str] | set[str],
-        work_s: float,
+        work: Work,
         now: float,
     ) -> tuple[EndpointView, float] | None:
         """Choose an endpoint for the next attempt.
@@ -188,7 +198,7 @@
         Args:
             candidates: Endpoints that take new work, each with whether it is doubtful.
             tried: Incarnations that are not chosen again.
-            work_s: Usual time of the request, in seconds.
+            work: What the request asks for.
             now: Monotonic time in seconds.
 
         Returns:
@@ -198,7 +208,7 @@
         for endpoint, is_doubtful in candidates:
             view = self.view(endpoint)
             if endpoint.incarnation not in tried and not view.is_shunned(now):
-                costs.append((self.cost_s(view, work_s, is_doubtful, now), view))
+                costs.append((self.cost_s(view, work, is_doubtful, now), view))
         if not costs:
             return None
         least_s = min(cost_s for cost_s, _ in costs)
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -36,12 +36,30 @@
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
 
-BEAT_S = 0.05
+SLOW = "slow"
+"""Reason of refusals where the server is slower than the entry assumed."""
+
+FULL = "full"
+"""Reason of refusals where no slot is free, before the attempt has waited."""
+
+HAND_BACK_FACTOR = 2.0
+"""Slowdown of the server, as a multiple of the assumed one, from which an attempt is handed back."""
+
+BEAT_S = 0.1
 """Time between two looks at the server's state, in seconds."""
 
-CHECK_S = 0.1
+CHECK_S = 0.09
 """Age of the newest word of the server after which its health is asked, in seconds."""
 
+IDLE_CHECK_S = 0.45
+"""The same while no attempt has come for `IDLE_S`, in seconds."""
+
+IDLE_S = 2.0
+"""Time without an attempt after which less is asked, in seconds."""
+
+SMALL_FLEET = 16
+"""Endpoints up to which all entries are told of the load, not only those that sent attempts."""
+
 CHECK_TIMEOUT_S = 1.0
 """Time for a health check in seconds."""
 
@@ -80,6 +98,7 @@
         self._is_stopping = False
         self._last_seen = ServerSeen()
         self._seen_at = float("-inf")
+        self._attempted_at = now
         self._is_checking = False
         self._silent_checks = 0
         self._sequence = 0
@@ -171,6 +190,7 @@
             return
         self._seen.add(attempt.attempt_id, SEEN_S, now)
         self._telling.attempted(host_of(peer), now)
+        self._attempted_at = now
         remaining_s = attempt.remaining_ms / 1000 - self._ages.age_s(attempt, now)
         waiting = self._waiting(peer, attempt, remaining_s, now)
         reason = self._refusal(attempt, remaining_s)
@@ -195,6 +215,11 @@
             return "deadline"
         if self._silent_checks >= SILENT_CHECKS and not self.in_flight:
             return "server-down"
+        if attempt.assumed_slowdown:
+            if self._last_seen.slowdown >= HAND_BACK_FACTOR * attempt.assumed_slowdown:
+                return SLOW
+            if self.in_flight + self.queued >= self._slots():
+                return FULL
         return ""
 
     def _refuse_all(self, reason: str, now: float) -> Iterator[Action]:
@@ -345,7 +370,9 @@
 
     def _check(self, now: float) -> Iterator[Action]:
         rules = self._rules()
-        if rules is None or self._is_checking or now - self._seen_at < CHECK_S:
+        is_idle = now - self._attempted_at > IDLE_S
+        longest_s = IDLE_CHECK_S if is_idle else CHECK_S
+        if rules is None or self._is_checking or now - self._seen_at < longest_s:
             return
         self._is_checking = True
         yield CheckServer(rules.health_path, CHECK_TIMEOUT_S)
@@ -389,10 +416,14 @@
             self._state = report.state
             yield Record("guard_state", fields)
         if self._telling.is_news(report, now):
-            hosts = self._telling.hosts(now)
+            hosts = self._hosts_to_tell(now)
             if hosts:
                 yield TellLoad(hosts, report)
 
+    def _hosts_to_tell(self, now: float) -> tuple[str, ...]:
+        hosts = {host_of(endpoint.guard) for endpoint in self._directory.all_endpoints()}
+        return tuple(sorted(hosts)) if len(hosts) <= SMALL_FLEET else self._telling.hosts(now)
+
 
 def make_guard(server: str, service: str, directory: Directory, now: float) -> Guard:
     """Make the guard of the server of `service` at the address `server`."""
--- a/src/pollenroad/proxy/upstream.py
+++ b/src/pollenroad/proxy/upstream.py
@@ -87,8 +87,9 @@
     def _run(self, attempt: Attempt, timeout_s: float) -> None:
         event = ServerFailed(attempt.attempt_id, reached=True, reason="cancelled")
         try:
+            connection = self._take(IDLE_REUSE_S if attempt.idempotent else IDLE_REUSE_ONCE_S)
             with gevent.Timeout(timeout_s):
-                event = self._outcome(attempt, timeout_s)
+                event = self._outcome(connection, attempt, timeout_s)
         except gevent.Timeout:
             event = ServerFailed(attempt.attempt_id, reached=True, reason="deadline")
         except ExchangeError as error:
@@ -100,16 +101,15 @@
             self._task_by_attempt.pop(attempt.attempt_id, None)
             self._post(event)
 
-    def _outcome(self, attempt: Attempt, timeout_s: float) -> Event:
-        started = time.monotonic()
-        connection = self._take(IDLE_REUSE_S if attempt.idempotent else IDLE_REUSE_ONCE_S)
-        left_s = timeout_s - (time.monotonic() - started)
+    def _outcome(
+        self, connection: ClientConnection, attempt: Attempt, timeout_s: float
+    ) -> Event:
         request = attempt.request
         reply = self._exchange(
             connection,
             request.method,
             request.path,
-            self._request_headers(attempt, left_s),
+            self._request_headers(attempt, timeout_s),
             request.body,
             lambda reply: self._is_stray(reply, attempt),
         )
