Few daemons watch the platform; they tell the others

Ruled out: longer gathering alone (each change still wakes every daemon). Change: in each failure domain the two daemons of the highest rank that reach the store watch; they send changes to their domain and a bulletin to the watchers of others; whoever hears fewer than two watches by itself.

--- a/src/pollenroad/exceptions.py
+++ b/src/pollenroad/exceptions.py
@@ -33,6 +33,10 @@
     """The platform could not be read."""
 
 
+class HistoryLost(PlatformError):  # noqa: N818 (a state of the platform, not a fault)
+    """The platform no longer holds the changes that were asked for."""
+
+
 class ExchangeError(PollenroadError):
     """An HTTP exchange had no whole answer.
 
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -9,6 +9,8 @@
 import msgspec
 from msgspec import Meta
 
+from pollenroad.proxy.models import Configuration, DomainOut, RegisteredEndpoint
+
 PROTOCOL_VERSION = 1
 
 ITEMS_PER_MESSAGE = 512
@@ -312,8 +314,40 @@
     suspects: bool
 
 
+class DirectoryNews(Message, tag="directory"):
+    """What the platform holds of routes and endpoints, or what changed there."""
+
+    after: int
+    """Revision on top of which the changes apply."""
+    revision: int
+    is_whole: bool = False
+    """Whether this is everything, in place of changes."""
+    configuration: Configuration | None = None
+    endpoints: tuple[RegisteredEndpoint, ...] = ()
+    removed: tuple[str, ...] = ()
+    """Incarnations whose registration ended."""
+    domains: tuple[DomainOut, ...] = ()
+    lost_ago_s: float = 1e9
+    """Time since the sender last failed to read the platform, in seconds."""
+
+
+class Bulletin(Message, tag="bulletin"):
+    """The sender watches the platform for others, up to a revision."""
+
+    revision: int
+    has_platform: bool
+    """Whether its last read of the platform succeeded."""
+
+
+class AskDirectory(Message, tag="ask-directory"):
+    """Asks for everything that the platform holds, as far as the receiver knows."""
+
+
 RelayMessage = (
-    Heartbeat
+    DirectoryNews
+    | Bulletin
+    | AskDirectory
+    | Heartbeat
     | AskDigests
     | Announce
     | FetchDocuments
@@ -326,7 +360,10 @@
 """What `pollenroad.relay` takes from peers."""
 
 PeerMessage = (
-    Attempt
+    DirectoryNews
+    | Bulletin
+    | AskDirectory
+    | Attempt
     | AttemptAnswer
     | CancelAttempt
     | LoadReport
--- a/src/pollenroad/proxy/boundary.py
+++ b/src/pollenroad/proxy/boundary.py
@@ -5,7 +5,7 @@
 
 from pollenroad import boundary as calls
 from pollenroad.messages import LoadReport, Request
-from pollenroad.proxy.models import Configuration, RegisteredEndpoint
+from pollenroad.proxy.models import Configuration, DomainOut, RegisteredEndpoint
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +67,10 @@
     configuration: Configuration | None
     endpoint_by_incarnation: Mapping[str, RegisteredEndpoint] = field(default_factory=dict)
     out_domains: frozenset[str] = frozenset()
+    peer: str = ""
+    """Peer that told it; empty for the platform itself."""
+    lost_ago_s: float = float("inf")
+    """Time since that peer last failed to read the platform, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,14 +80,6 @@
     incarnation: str
 
 
-@dataclass(frozen=True, slots=True)
-class DomainOut:
-    """Operators took a failure domain out of service, or back into it."""
-
-    failure_domain: str
-    is_out: bool
-
-
 DirectoryItem = Configuration | RegisteredEndpoint | EndpointRemoved | DomainOut
 
 
@@ -93,6 +89,12 @@
 
     revision: int
     items: tuple[DirectoryItem, ...]
+    after: int = 0
+    """Revision on top of which they apply."""
+    peer: str = ""
+    """Peer that told them; empty for the platform itself."""
+    lost_ago_s: float = float("inf")
+    """Time since that peer last failed to read the platform, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,4 +135,11 @@
     report: LoadReport
 
 
-Action = calls.Action | CheckServer | TellLoad
+@dataclass(frozen=True, slots=True)
+class WatchDirectory:
+    """Watch the platform from now on, or leave that to others."""
+
+    is_wanted: bool
+
+
+Action = calls.Action | CheckServer | TellLoad | WatchDirectory
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -1,4 +1,4 @@
-"""The cores of one proxy: directory, entry and guard, and which events concern which. No I/O."""
+"""The cores of one proxy: directory, relay, entry and guard, and which events concern which. No I/O."""
 
 import random
 from dataclasses import dataclass
@@ -14,10 +14,11 @@
     StopRequested,
     Tick,
 )
-from pollenroad.messages import AttemptAnswer
+from pollenroad.messages import AskDirectory, AttemptAnswer, Bulletin, DirectoryNews
 from pollenroad.proxy.boundary import (
     Action,
     DirectoryChanged,
+    DirectoryEvent,
     DirectoryLost,
     DirectoryRead,
     EntryLost,
@@ -30,13 +31,14 @@
 from pollenroad.proxy.directory import make_directory
 from pollenroad.proxy.entry import BudgetRules, Entry
 from pollenroad.proxy.guard import make_guard
+from pollenroad.proxy.relay import DirectoryRelay
 
 
 @dataclass(frozen=True, slots=True)
 class Place:
     """Where a daemon runs, and beside which server."""
 
-    vm: str
+    peer_address: str
     failure_domain: str
     service: str
     server: str
@@ -52,6 +54,7 @@
         self.directory = make_directory()
         self.entry = Entry(incarnation, place.failure_domain, self.directory, rules, rng)
         self.entry.caller = place.service
+        self.relay = DirectoryRelay(place.peer_address, place.failure_domain, self.directory)
         self.guard = make_guard(place.server, place.service, self.directory, now)
 
     def move(self, place: Place) -> None:
@@ -62,7 +65,8 @@
 
     def next_due(self) -> float | None:
         """Return when `Tick` is next needed, in monotonic seconds."""
-        dues = (self.directory.next_due(), self.entry.next_due(), self.guard.next_due())
+        parts = (self.directory, self.entry, self.guard, self.relay)
+        dues = (part.next_due() for part in parts)
         return min((due for due in dues if due is not None), default=None)
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -79,9 +83,12 @@
     def _dispatch(self, event: Event, now: float) -> list[Action]:
         match event:
             case DirectoryRead() | DirectoryChanged() | DirectoryLost():
-                records = self.directory.handle(event, now)
-                self.entry.fleet.forget(self.directory.all_endpoints())
-                return [*records, *self.guard.handle(event, now)]
+                return [*self._learn(event, now), *self.relay.on_read(event, now)]
+            case PeerReceived(_, DirectoryNews()):
+                news = self.relay.on_message(event)
+                return [] if news is None else self._learn(news, now)
+            case PeerReceived(_, Bulletin() | AskDirectory()):
+                return self.relay.handle(event, now)
             case RequestArrived() | CallAbandoned() | AttemptUnsent() | PeerLost() | LoadHeard():
                 return self.entry.handle(event, now)
             case PeerReceived(_, AttemptAnswer()):
@@ -91,6 +98,11 @@
             case ServerAnswered() | ServerFailed() | ServerShed() | ServerSeen() | ServerSilent():
                 return self.guard.handle(event, now)
             case Tick():
-                records = self.directory.due(now)
-                return [*records, *self.entry.handle(event, now), *self.guard.handle(event, now)]
+                actions = [*self.directory.due(now), *self.relay.handle(event, now)]
+                return [*actions, *self.entry.handle(event, now), *self.guard.handle(event, now)]
         return []
+
+    def _learn(self, event: DirectoryEvent, now: float) -> list[Action]:
+        records = self.directory.handle(event, now)
+        self.entry.fleet.forget(self.directory.all_endpoints())
+        return [*records, *self.guard.handle(event, now)]
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -14,11 +14,12 @@
 from pollenroad.exceptions import ConfigurationError
 from pollenroad.logs import log
 from pollenroad.peers import Identity, Peers
-from pollenroad.proxy.boundary import Action, CheckServer, EntryLost, Event, TellLoad
+from pollenroad.proxy.boundary import Action, CheckServer, EntryLost, Event, TellLoad, WatchDirectory
 from pollenroad.proxy.callers import Callers, make_caller_server
 from pollenroad.proxy.cores import Place, ProxyCores
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.proxy.entry import BudgetRules
+from pollenroad.proxy.following import Follower, Source
 from pollenroad.proxy.http1 import Page, serve_pages
 from pollenroad.proxy.metrics import CONTENT_TYPE, ProxyMetrics
 from pollenroad.proxy.notices import Notices
@@ -58,9 +59,16 @@
         settings_path: Path of the settings file.
         dialect: Names of header fields.
         readiness_path: Path of the readiness page.
+        make_source: Makes what the platform is read by.
     """
 
-    def __init__(self, settings_path: str, dialect: Dialect, readiness_path: str):
+    def __init__(
+        self,
+        settings_path: str,
+        dialect: Dialect,
+        readiness_path: str,
+        make_source: Callable[[ProxySettings], Source],
+    ):
         self.settings = load_proxy_settings(settings_path)
         self.incarnation = os.urandom(4).hex()
         self.metrics = ProxyMetrics()
@@ -73,6 +81,7 @@
         self.cores = ProxyCores(self.incarnation, place, rules, rng, time.monotonic())
         self._driver = Driver(self._handle, self.cores.next_due)
         self.post = self._driver.post
+        self._follower = Follower(make_source(settings), self.cores.directory, self.post)
         self.callers = Callers(dialect, self.post)
         self.upstream = Upstream(settings.server, dialect, self.post)
         identity = Identity(
@@ -113,6 +122,8 @@
                 self.upstream.check(path, timeout_s)
             case TellLoad(hosts, report):
                 self.notices.tell(hosts, report)
+            case WatchDirectory(is_wanted):
+                self._follower.watch(is_wanted)
             case Record(name, fields):
                 self._record(name, dict(fields))
 
@@ -143,18 +154,14 @@
 
     # --- Life ---
 
-    def start(self, read_directory: Callable[["ProxyDaemon"], None]) -> None:
-        """Listen, and start the tasks.
-
-        Args:
-            read_directory: Task that reads the platform and posts what it finds.
-        """
+    def start(self) -> None:
+        """Listen, and start the tasks."""
         self.peers.start()
         self.notices.start()
         for server in self._servers:
             server.start()
         gevent.spawn(self._driver.run_timer)
-        gevent.spawn(read_directory, self)
+        self._follower.start()
         gevent.spawn(self._watch_settings)
         settings = self.settings
         log(
@@ -228,7 +235,7 @@
 
 
 def _place(settings: ProxySettings) -> Place:
-    return Place(settings.vm, settings.failure_domain, settings.service, settings.server)
+    return Place(settings.peer_address, settings.failure_domain, settings.service, settings.server)
 
 
 def _budget_rules(settings: ProxySettings) -> BudgetRules:
--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -14,10 +14,9 @@
     DirectoryItem,
     DirectoryLost,
     DirectoryRead,
-    DomainOut,
     EndpointRemoved,
 )
-from pollenroad.proxy.models import Configuration, RegisteredEndpoint
+from pollenroad.proxy.models import Configuration, DomainOut, RegisteredEndpoint
 from pollenroad.proxy.routes import RouteTable
 
 RETURN_S = 2.2
@@ -92,13 +91,29 @@
             case DirectoryLost(reason):
                 return self._lost(reason, now)
             case DirectoryRead():
+                self._lost_at = max(self._lost_at, now - event.lost_ago_s)
                 records = [*self._regained(now), *self._replace(event, now)]
             case DirectoryChanged(revision, items):
+                self._lost_at = max(self._lost_at, now - event.lost_ago_s)
                 records = [*self._regained(now), *self._change(items, now)]
-                self.revision = revision
+                self.revision = max(self.revision, revision)
         self.read_at = now
         return records
 
+    def confirm(self, now: float) -> list[Record]:
+        """Note that nothing is newer than what is known here."""
+        self.read_at = now
+        return self._regained(now)
+
+    def lost_ago_s(self, now: float) -> float:
+        """Return the time since the platform could last not be read, in seconds."""
+        return 0.0 if self._is_lost else now - self._lost_at
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last read of the platform failed."""
+        return self._is_lost
+
     def due(self, now: float) -> list[Record]:
         """Drop the endpoints that are not back in time; return the records of it."""
         if self._is_lost:
--- a/src/pollenroad/proxy/models.py
+++ b/src/pollenroad/proxy/models.py
@@ -85,3 +85,11 @@
     """How much longer the server is cold, in seconds, as of its registration."""
     revision: int = 0
     """Revision of the registration; the newest one at an address counts."""
+
+
+@dataclass(frozen=True, slots=True)
+class DomainOut:
+    """Operators took a failure domain out of service, or back into it."""
+
+    failure_domain: str
+    is_out: bool
