--- a/Makefile
+++ b/Makefile
@@ -16,12 +16,12 @@
 	.venv/bin/nose2 -s tests -t .
 
 lint: setup
-	.venv/bin/black --check --quiet src tests
-	.venv/bin/ruff check src tests
+	.venv/bin/black --check --quiet src tests platform
+	.venv/bin/ruff check src tests platform
 
 format: setup
-	.venv/bin/black --quiet src tests
-	.venv/bin/ruff check --fix src tests
+	.venv/bin/black --quiet src tests platform
+	.venv/bin/ruff check --fix src tests platform
 
 schema: setup
 	.venv/bin/python -m pollenroad.schema docs/schema
--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -70,7 +70,9 @@
     CatalogueEntry(516, "endpoint_gone", logging.INFO, "An endpoint is not used any more."),
     CatalogueEntry(517, "endpoint_doubtful", logging.WARNING, "An endpoint's lease ran out."),
     CatalogueEntry(518, "item_refused", logging.WARNING, "An item of the platform is malformed."),
-    CatalogueEntry(519, "watcher_changed", logging.INFO, "A daemon watches the platform, or stops."),
+    CatalogueEntry(
+        519, "watcher_changed", logging.INFO, "A daemon watches the platform, or stops."
+    ),
     CatalogueEntry(520, "directory_behind", logging.INFO, "Others know more; one is asked for it."),
     CatalogueEntry(502, "platform_failed", logging.WARNING, "The platform could not be read."),
 )
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -1,4 +1,4 @@
-"""The cores of one proxy: directory, relay, entry and guard, and which events concern which. No I/O."""
+"""The cores of one proxy: directory, relay, entry and guard. No I/O."""
 
 import random
 from dataclasses import dataclass
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -9,12 +9,26 @@
 from gevent.event import Event as Flag
 
 from pollenroad.addresses import host_of
-from pollenroad.boundary import AnswerCall, CancelAtServer, Record, RunAtServer, SendPeer, StopRequested
+from pollenroad.boundary import (
+    AnswerCall,
+    CancelAtServer,
+    Record,
+    RunAtServer,
+    SendPeer,
+    StopRequested,
+)
 from pollenroad.driver import Driver
 from pollenroad.exceptions import ConfigurationError
 from pollenroad.logs import log
 from pollenroad.peers import Identity, Peers
-from pollenroad.proxy.boundary import Action, CheckServer, EntryLost, Event, TellLoad, WatchDirectory
+from pollenroad.proxy.boundary import (
+    Action,
+    CheckServer,
+    EntryLost,
+    Event,
+    TellLoad,
+    WatchDirectory,
+)
 from pollenroad.proxy.callers import Callers, make_caller_server
 from pollenroad.proxy.cores import Place, ProxyCores
 from pollenroad.proxy.dialect import Dialect
@@ -138,8 +152,10 @@
     # --- Pages ---
 
     def _readiness(self) -> Page:
-        return (200 if self.ready else 503), "application/json", b'{"ready":%s}' % (
-            b"true" if self.ready else b"false"
+        return (
+            (200 if self.ready else 503),
+            "application/json",
+            b'{"ready":%s}' % (b"true" if self.ready else b"false"),
         )
 
     def _metrics_page(self) -> Page:
--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -142,7 +142,9 @@
         if event.configuration is not None:
             yield from self._configure(event.configuration)
         yield from self._set_domains(event.out_domains)
-        missing = [n for n in self._endpoint_by_incarnation if n not in event.endpoint_by_incarnation]
+        missing = [
+            n for n in self._endpoint_by_incarnation if n not in event.endpoint_by_incarnation
+        ]
         yield from self._remove(missing, now)
         for endpoint in event.endpoint_by_incarnation.values():
             yield from self._register(endpoint)
@@ -167,13 +169,19 @@
             return
         if configuration.version < before:
             fields = (("version", configuration.version), ("in_force", before))
-            yield Record("configuration_refused", (("reason", "older than the one in force"), *fields))
+            yield Record(
+                "configuration_refused", (("reason", "older than the one in force"), *fields)
+            )
             return
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
         yield Record(
             "configuration_in_force",
-            (("version", configuration.version), ("before", before), ("routes", len(configuration.routes))),
+            (
+                ("version", configuration.version),
+                ("before", before),
+                ("routes", len(configuration.routes)),
+            ),
         )
 
     def _set_domains(self, domains: frozenset[str]) -> Iterator[Record]:
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -28,7 +28,14 @@
 from pollenroad.handover import HandOverAges, SeenAttempts
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport
 from pollenroad.models import RequestClass
-from pollenroad.proxy.boundary import CheckServer, EntryLost, Event, ServerSeen, ServerSilent, TellLoad
+from pollenroad.proxy.boundary import (
+    CheckServer,
+    EntryLost,
+    Event,
+    ServerSeen,
+    ServerSilent,
+    TellLoad,
+)
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.models import RegisteredEndpoint, ServiceRules
 from pollenroad.proxy.pacing import ColdPace
@@ -43,7 +50,7 @@
 """Reason of refusals where no slot is free, before the attempt has waited."""
 
 HAND_BACK_FACTOR = 2.0
-"""Slowdown of the server, as a multiple of the assumed one, from which an attempt is handed back."""
+"""Slowdown, as a multiple of the assumed one, from which an attempt is handed back."""
 
 BEAT_S = 0.1
 """Time between two looks at the server's state, in seconds."""
@@ -362,9 +369,7 @@
         if running is None or not running.is_wanted:
             return
         running.is_wanted = False
-        answer = AttemptAnswer(
-            attempt_id, Verdict.UNKNOWN.value, "deadline", reached_server=True
-        )
+        answer = AttemptAnswer(attempt_id, Verdict.UNKNOWN.value, "deadline", reached_server=True)
         yield CancelAtServer(attempt_id)
         yield self._send(running.waiting.peer, answer, now)
 
--- a/src/pollenroad/proxy/upstream.py
+++ b/src/pollenroad/proxy/upstream.py
@@ -101,9 +101,7 @@
             self._task_by_attempt.pop(attempt.attempt_id, None)
             self._post(event)
 
-    def _outcome(
-        self, connection: ClientConnection, attempt: Attempt, timeout_s: float
-    ) -> Event:
+    def _outcome(self, connection: ClientConnection, attempt: Attempt, timeout_s: float) -> Event:
         request = attempt.request
         reply = self._exchange(
             connection,
