--- a/src/pollenroad/proxy/pacing.py
+++ b/src/pollenroad/proxy/pacing.py
@@ -3,6 +3,9 @@
 BURST = 2.0
 """Requests that a paced server may get at once."""
 
+MIN_WAIT_S = 0.001
+"""Shortest wait for a token in seconds; rounding could make a shorter one due at once for ever."""
+
 START_TOKENS = 1.0
 """Requests that a guard which has just started may hand over at once: the one before it may have
 used up the rest."""
@@ -45,7 +48,7 @@
 
     def next_token_s(self, rate_per_s: float) -> float:
         """Return the time until the next token, in seconds."""
-        return max(0.0, 1 - self._tokens) / rate_per_s
+        return max(MIN_WAIT_S, (1 - self._tokens) / rate_per_s)
 
     def _refill(self, rate_per_s: float, now: float) -> None:
         self._tokens = min(BURST, self._tokens + rate_per_s * max(0.0, now - self._updated))
--- a/src/pollenroad/proxy/relay.py
+++ b/src/pollenroad/proxy/relay.py
@@ -44,6 +44,10 @@
 LISTEN_MAX_S = 1.6
 """Longest such time, in seconds; below the time in which a change must be in force."""
 
+LISTED_S = 30.0
+"""Time for which a daemon is told the news after its server's registration ended, in seconds: it
+still serves callers and may have work in flight."""
+
 BEHIND_S = 0.3
 """Time for which a daemon may be behind a bulletin until it asks the sender, in seconds: news of
 the change is under way to it."""
@@ -56,6 +60,12 @@
     has_platform: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _Listed:
+    failure_domain: str
+    at: float
+
+
 class DirectoryRelay:
     """State of one daemon's part in passing on what the platform holds."""
 
@@ -64,6 +74,7 @@
         self._failure_domain = failure_domain
         self._directory = directory
         self._heard_by_peer: dict[str, _Heard] = {}
+        self._listed_by_peer: dict[str, _Listed] = {}
         self._has_read = False
         self._listen_until = float("inf")
         self._behind_since: float | None = None
@@ -80,9 +91,15 @@
 
     def _peers(self, failure_domain: str) -> list[str]:
         """Return the peer addresses of a domain, the highest rank first."""
-        endpoints = self._directory.all_endpoints()
-        peers = {e.guard for e in endpoints if e.failure_domain == failure_domain}
-        return sorted(peers, key=_rank)
+        listed = self._listed_by_peer.items()
+        return sorted((p for p, seen in listed if seen.failure_domain == failure_domain), key=_rank)
+
+    def _list_peers(self, now: float) -> None:
+        """Note which daemons there are; one outlives the registration of its server."""
+        for endpoint in self._directory.all_endpoints():
+            self._listed_by_peer[endpoint.guard] = _Listed(endpoint.failure_domain, now)
+        oldest = now - LISTED_S
+        self._listed_by_peer = {p: s for p, s in self._listed_by_peer.items() if s.at >= oldest}
 
     def _is_watcher_needed(self, now: float) -> bool:
         own = _rank(self._address)
@@ -95,6 +112,7 @@
 
     def on_read(self, event: DirectoryEvent, now: float) -> Iterator[Action]:
         """Take what this daemon itself has read of the platform; pass changes on."""
+        self._list_peers(now)
         match event:
             case DirectoryLost():
                 return
@@ -148,6 +166,7 @@
         self._tick_at = now + BULLETIN_S / 2
         if now < self._listen_until and not self._directory.is_lost:
             return
+        self._list_peers(now)
         yield from self._choose_role(now)
         if self.is_watching and now >= self._bulletin_at:
             self._bulletin_at = now + BULLETIN_S
@@ -188,7 +207,7 @@
         return Bulletin(self._directory.revision, not self._directory.is_lost)
 
     def _tell_other_domains(self) -> Iterator[Action]:
-        domains = {e.failure_domain for e in self._directory.all_endpoints()}
+        domains = {seen.failure_domain for seen in self._listed_by_peer.values()}
         for domain in sorted(domains - {self._failure_domain}):
             for peer in self._peers(domain)[:WATCHERS]:
                 yield SendPeer(peer, self._bulletin())
--- a/src/pollenroad/proxy/routes.py
+++ b/src/pollenroad/proxy/routes.py
@@ -1,6 +1,6 @@
 """Which route a request takes, and which of its services."""
 
-from pollenroad.proxy.models import Route
+from pollenroad.proxy.models import Route, Share
 
 
 class RouteTable:
@@ -32,18 +32,18 @@
     """
 
     def __init__(self):
-        self._credit_by_route: dict[str, dict[str, float]] = {}
+        self._credit_by_route: dict[str, tuple[tuple[Share, ...], dict[str, float]]] = {}
 
     def service_of(self, route: Route) -> str:
         """Return the service of the next request of a route."""
         if len(route.shares) == 1:
             return route.shares[0].service
-        credit = self._credit_by_route.setdefault(route.name, {})
-        for gone in credit.keys() - {share.service for share in route.shares}:
-            del credit[gone]
-        total = sum(share.weight for share in route.shares)
+        shares, credit = self._credit_by_route.get(route.name, ((), {}))
+        if shares != route.shares:
+            credit = {share.service: 0.0 for share in route.shares}
+            self._credit_by_route[route.name] = (route.shares, credit)
         for share in route.shares:
-            credit[share.service] = credit.get(share.service, 0.0) + share.weight
+            credit[share.service] += share.weight
         chosen = max(route.shares, key=lambda share: credit[share.service]).service
-        credit[chosen] -= total
+        credit[chosen] -= sum(share.weight for share in route.shares)
         return chosen
--- /dev/null
+++ b/tests/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `pollenroad.proxy`, and what they share."""
--- /dev/null
+++ b/tests/proxy/test_proxy_directory.py
@@ -0,0 +1,119 @@
+"""Routes, and what a daemon takes from the platform and what not."""
+
+import unittest
+from collections import Counter
+
+from pollenroad.proxy.boundary import DirectoryChanged, DirectoryLost, EndpointRemoved
+from pollenroad.proxy.directory import MASS_RETURN_S, RETURN_S
+from pollenroad.proxy.models import DomainOut, Share
+from pollenroad.proxy.routes import RouteTable, Splitter
+from tests.proxy.samples import (
+    SERVICE,
+    configuration,
+    directory_with,
+    endpoint,
+    events_of,
+    read,
+    route,
+)
+
+
+def names(directory) -> list[str]:
+    return sorted(e.incarnation for e in directory.endpoints(SERVICE))
+
+
+class RoutesTest(unittest.TestCase):
+    def test_the_longest_prefix_of_the_host_wins(self):
+        table = RouteTable((route("a", prefix="/x/"), route("b", prefix="/x/y/")))
+        self.assertEqual(table.match("races.example:80", "/x/y/z?q=1").name, "b")
+        self.assertEqual(table.match("RACES.example", "/x/yz").name, "a")
+        self.assertIsNone(table.match("other.example", "/x/y/z"))
+        self.assertIsNone(table.match("races.example", "/x"))
+
+    def test_a_split_follows_the_weights_in_every_stretch(self):
+        split = route(shares=(Share("old", 90), Share("new", 10)))
+        splitter = Splitter()
+        counts = Counter(splitter.service_of(split) for _ in range(20))
+        self.assertEqual(counts, {"old": 18, "new": 2})
+
+    def test_a_changed_split_is_followed_at_once(self):
+        splitter = Splitter()
+        for _ in range(7):
+            splitter.service_of(route(shares=(Share("old", 90), Share("new", 10))))
+        moved = route(shares=(Share("new", 1), Share("other", 1)))
+        counts = Counter(splitter.service_of(moved) for _ in range(10))
+        self.assertEqual(counts, {"new": 5, "other": 5})
+
+
+class DirectoryTest(unittest.TestCase):
+    def test_an_older_configuration_never_comes_into_force(self):
+        directory = directory_with(endpoint(1), config=configuration(5))
+        records = directory.handle(DirectoryChanged(11, (configuration(4),)), 1.0)
+        self.assertEqual(directory.configuration.version, 5)
+        self.assertIn("configuration_refused", events_of(records))
+        directory.handle(read(endpoint(1), config=configuration(3)), 2.0)
+        self.assertEqual(directory.configuration.version, 5)
+
+    def test_leaving_and_removed_endpoints_get_no_new_work(self):
+        directory = directory_with(endpoint(1), endpoint(2), endpoint(3))
+        changes = (endpoint(1, is_leaving=True, revision=20), EndpointRemoved("i-2"))
+        directory.handle(DirectoryChanged(20, changes), 10.0)
+        self.assertEqual(names(directory), ["i-3"])
+
+    def test_an_older_registration_does_not_undo_a_newer_one(self):
+        directory = directory_with(endpoint(1, is_leaving=True, revision=20))
+        directory.handle(DirectoryChanged(21, (endpoint(1, revision=5),)), 1.0)
+        self.assertEqual(names(directory), [])
+
+    def test_a_domain_is_taken_out_and_comes_back(self):
+        directory = directory_with(endpoint(1, "a"), endpoint(2, "b"))
+        directory.handle(DirectoryChanged(11, (DomainOut("a", True),)), 1.0)
+        self.assertEqual(names(directory), ["i-2"])
+        directory.handle(DirectoryChanged(12, (DomainOut("a", False),)), 2.0)
+        self.assertEqual(names(directory), ["i-1", "i-2"])
+
+    def test_an_endpoint_whose_lease_ran_out_stays_until_it_could_be_back(self):
+        directory = directory_with(endpoint(1), endpoint(2))
+        directory.handle(DirectoryLost("no answer"), 10.0)
+        directory.handle(DirectoryChanged(11, (EndpointRemoved("i-1"),)), 12.0)
+        self.assertEqual(names(directory), ["i-1", "i-2"])
+        self.assertTrue(directory.is_doubtful("i-1"))
+        directory.handle(DirectoryChanged(12, (endpoint(1, revision=30),)), 13.0)
+        self.assertFalse(directory.is_doubtful("i-1"))
+        directory.due(12.0 + RETURN_S)
+        self.assertEqual(names(directory), ["i-1", "i-2"])
+
+    def test_an_endpoint_that_is_not_back_in_time_is_gone(self):
+        directory = directory_with(endpoint(1), endpoint(2))
+        directory.handle(DirectoryLost("no answer"), 10.0)
+        directory.handle(DirectoryChanged(11, (EndpointRemoved("i-1"),)), 12.0)
+        directory.due(12.0 + RETURN_S)
+        self.assertEqual(names(directory), ["i-2"])
+
+    def test_nothing_is_dropped_while_the_platform_is_away(self):
+        directory = directory_with(endpoint(1), endpoint(2))
+        directory.handle(DirectoryLost("no answer"), 10.0)
+        directory.handle(DirectoryChanged(11, (EndpointRemoved("i-1"),)), 11.0)
+        directory.handle(DirectoryLost("no answer"), 11.5)
+        directory.due(60.0)
+        self.assertEqual(names(directory), ["i-1", "i-2"])
+
+    def test_many_registrations_that_end_together_are_taken_as_lapsed(self):
+        directory = directory_with(*(endpoint(n) for n in range(1, 7)))
+        removed = tuple(EndpointRemoved(f"i-{n}") for n in (1, 2, 3))
+        directory.handle(DirectoryChanged(11, removed), 100.0)
+        self.assertEqual(len(names(directory)), 6)
+        directory.due(100.0 + MASS_RETURN_S)
+        self.assertEqual(names(directory), ["i-4", "i-5", "i-6"])
+
+    def test_the_newest_incarnation_at_an_address_counts(self):
+        old, new = endpoint(1), endpoint(2, server=endpoint(1).server, service="other")
+        directory = directory_with(old, new)
+        self.assertEqual(directory.at_server(old.server).incarnation, "i-2")
+
+    def test_loss_and_return_of_the_platform_are_told_once(self):
+        directory = directory_with(endpoint(1))
+        self.assertEqual(events_of(directory.handle(DirectoryLost("x"), 1.0)), ["directory_lost"])
+        self.assertEqual(events_of(directory.handle(DirectoryLost("x"), 2.0)), [])
+        records = directory.handle(DirectoryChanged(11, ()), 3.0)
+        self.assertEqual(events_of(records), ["directory_regained"])
--- /dev/null
+++ b/tests/proxy/test_proxy_entry.py
@@ -0,0 +1,217 @@
+"""What an entry sends, sends again, and answers."""
+
+import unittest
+
+from pollenroad.boundary import AttemptUnsent, CallAbandoned, PeerLost, PeerReceived, SendPeer, Tick
+from pollenroad.messages import AttemptAnswer, CancelAttempt
+from pollenroad.proxy.boundary import DirectoryChanged, LoadHeard
+from pollenroad.proxy.directory import make_directory
+from pollenroad.proxy.entry import HOLD_SHARE, MAX_HAND_BACKS, Entry
+from pollenroad.proxy.guard import SLOW
+from pollenroad.verdicts import Verdict
+from tests.proxy.samples import (
+    NO_RETRIES,
+    RETRIES,
+    answer,
+    answers,
+    arrived,
+    endpoint,
+    entry_with,
+    report,
+    run_until,
+    sent,
+)
+
+
+def ended(attempt, verdict: str, reason: str = "", **changes) -> PeerReceived:
+    return PeerReceived("", AttemptAnswer(attempt.attempt_id, verdict, reason, **changes))
+
+
+class RequestTest(unittest.TestCase):
+    def test_without_a_configuration_nothing_is_refused_for_good(self):
+        entry = Entry("entry", "a", make_directory(), RETRIES, None)
+        (reply,) = answers(entry.handle(arrived(), 0.0))
+        self.assertEqual((reply.verdict, reply.reason), (Verdict.NOT_RUN, "no-configuration"))
+
+    def test_a_request_without_a_route_is_told_so(self):
+        (reply,) = answers(entry_with(endpoint(1)).handle(arrived(name="nowhere"), 0.0))
+        self.assertEqual(reply.reason, "no-route")
+
+    def test_an_answer_goes_to_its_caller_once(self):
+        entry = entry_with(endpoint(1))
+        (first,) = sent(entry.handle(arrived(), 0.0))
+        (reply,) = answers(entry.handle(PeerReceived("", answer(first)), 0.1))
+        self.assertEqual((reply.call_id, reply.response.status), ("c1", 200))
+        self.assertEqual(answers(entry.handle(PeerReceived("", answer(first)), 0.2)), [])
+        self.assertEqual(answers(run_until(entry, 0.2, 10.0)), [])
+
+    def test_an_attempt_states_the_time_that_is_left(self):
+        (first,) = sent(entry_with(endpoint(1)).handle(arrived(deadline_s=0.4), 0.0))
+        self.assertLess(first.remaining_ms, 400)
+        (first,) = sent(entry_with(endpoint(1)).handle(arrived(), 0.0))
+        self.assertLess(first.remaining_ms, 1000)
+
+    def test_at_the_timeout_of_its_route_a_request_is_answered(self):
+        entry = entry_with(endpoint(1))
+        (first,) = sent(entry.handle(arrived(name="bind"), 0.0))
+        actions = run_until(entry, 0.0, 1.0)
+        (reply,) = answers(actions)
+        self.assertEqual((reply.verdict, reply.reason), (Verdict.UNKNOWN, "timeout"))
+        self.assertIn(SendPeer("127.0.0.1:7000", CancelAttempt(first.attempt_id)), actions)
+
+    def test_an_abandoned_request_is_cancelled_at_the_guard(self):
+        entry = entry_with(endpoint(1))
+        (first,) = sent(entry.handle(arrived(), 0.0))
+        actions = entry.handle(CallAbandoned("c1"), 0.1)
+        self.assertIn(SendPeer("127.0.0.1:7000", CancelAttempt(first.attempt_id)), actions)
+        self.assertEqual(entry.open_calls, 0)
+
+    def test_a_request_waits_a_little_for_an_endpoint(self):
+        entry = entry_with()
+        self.assertEqual(answers(entry.handle(arrived(), 0.0)), [])
+        entry._directory.handle(DirectoryChanged(11, (endpoint(1),)), 0.01)
+        self.assertEqual(len(sent(run_until(entry, 0.01, 0.05))), 1)
+
+    def test_without_an_endpoint_a_request_is_refused_early_and_truly(self):
+        entry = entry_with()
+        entry.handle(arrived(), 0.0)
+        (reply,) = answers(run_until(entry, 0.0, HOLD_SHARE * 0.5 + 0.001))
+        self.assertEqual((reply.verdict, reply.reason), (Verdict.NOT_RUN, "no-endpoint"))
+        self.assertGreater(reply.retry_after_ms, 0)
+
+
+class RetryTest(unittest.TestCase):
+    def _second(self, name: str, verdict: str, budget=RETRIES, **changes):
+        entry = entry_with(endpoint(1), endpoint(2), budget=budget)
+        (first,) = sent(entry.handle(arrived(name=name), 0.0))
+        return entry, entry.handle(ended(first, verdict, "x", **changes), 0.05)
+
+    def test_what_may_have_run_is_sent_again_only_if_that_does_no_harm(self):
+        _, actions = self._second("bind", "unknown")
+        self.assertEqual(sent(actions), [])
+        self.assertEqual(answers(actions)[0].verdict, Verdict.UNKNOWN)
+        _, actions = self._second("lookup", "unknown")
+        self.assertEqual(len(sent(actions)), 1)
+
+    def test_a_refusal_before_the_server_is_retried_without_a_budget(self):
+        _, actions = self._second("bind", "not-run", NO_RETRIES)
+        self.assertEqual(len(sent(actions)), 1)
+
+    def test_a_second_server_draws_on_the_budget(self):
+        for verdict, reached in (("unknown", True), ("not-run", True)):
+            entry, actions = self._second("lookup", verdict, reached_server=reached)
+            self.assertEqual(len(sent(actions)), 1)
+            entry, actions = self._second("lookup", verdict, NO_RETRIES, reached_server=reached)
+            entry._budget("registry", 0.0).tokens = 0.0
+        entry = entry_with(endpoint(1), endpoint(2), budget=NO_RETRIES)
+        entry._budget("registry", 0.0).tokens = 0.0
+        (first,) = sent(entry.handle(arrived(), 0.0))
+        actions = entry.handle(ended(first, "unknown", reached_server=True), 0.05)
+        self.assertEqual(sent(actions), [])
+        self.assertEqual(answers(actions)[0].verdict, Verdict.UNKNOWN)
+
+    def test_no_more_servers_than_the_route_allows_get_a_request(self):
+        entry, actions = self._second("lookup", "unknown")
+        (second,) = sent(actions)
+        actions = entry.handle(ended(second, "unknown", "x", reached_server=True), 0.1)
+        self.assertEqual(sent(actions), [])
+
+    def test_a_server_that_shed_counts_as_one_that_got_the_request(self):
+        entry, actions = self._second("bind", "not-run", reached_server=True)
+        (second,) = sent(actions)
+        actions = entry.handle(ended(second, "not-run", "shed", reached_server=True), 0.1)
+        self.assertEqual(sent(actions), [])
+        self.assertEqual(answers(actions)[0].verdict, Verdict.NOT_RUN)
+
+    def test_a_refusal_after_an_unknown_attempt_is_not_told_as_not_run(self):
+        entry, actions = self._second("lookup", "unknown")
+        (second,) = sent(actions)
+        actions = entry.handle(ended(second, "not-run", "shed", reached_server=True), 0.1)
+        self.assertEqual(answers(actions)[0].verdict, Verdict.UNKNOWN)
+
+    def test_a_server_error_is_kept_while_another_server_is_tried(self):
+        entry = entry_with(endpoint(1), endpoint(2))
+        (first,) = sent(entry.handle(arrived(), 0.0))
+        (second,) = sent(entry.handle(PeerReceived("", answer(first, 500)), 0.1))
+        actions = entry.handle(ended(second, "unknown", "reset", reached_server=True), 0.2)
+        self.assertEqual(answers(actions)[0].response.status, 500)
+
+    def test_a_server_error_of_what_must_not_run_twice_is_final(self):
+        entry = entry_with(endpoint(1), endpoint(2))
+        (first,) = sent(entry.handle(arrived(name="bind"), 0.0))
+        actions = entry.handle(PeerReceived("", answer(first, 500)), 0.1)
+        self.assertEqual((len(sent(actions)), answers(actions)[0].response.status), (0, 500))
+
+    def test_an_unreachable_guard_is_passed_over(self):
+        entry = entry_with(endpoint(1), endpoint(2))
+        (first,) = sent(entry.handle(arrived(name="bind"), 0.0))
+        (second,) = sent(entry.handle(AttemptUnsent(first.attempt_id), 0.01))
+        self.assertNotEqual(first.incarnation, second.incarnation)
+        for number in range(2, 8):
+            (other,) = sent(entry.handle(arrived(number), 0.02))
+            self.assertEqual(other.incarnation, second.incarnation)
+
+    def test_attempts_on_a_lost_link_may_have_run(self):
+        entry = entry_with(endpoint(1))
+        entry.handle(arrived(1, "bind"), 0.0)
+        (reply,) = answers(entry.handle(PeerLost("127.0.0.1:7000"), 0.1))
+        self.assertEqual((reply.verdict, reply.reason), (Verdict.UNKNOWN, "peer-lost"))
+
+
+class LoadTest(unittest.TestCase):
+    def test_the_own_failure_domain_is_preferred(self):
+        entry = entry_with(endpoint(1, "b"), endpoint(2, "a"))
+        chosen = {sent(entry.handle(arrived(n), 0.0))[0].incarnation for n in range(3)}
+        self.assertEqual(chosen, {"i-2"})
+
+    def test_a_slow_server_is_left_for_another_failure_domain(self):
+        entry = entry_with(endpoint(1, "b"), endpoint(2, "a"))
+        (first,) = sent(entry.handle(arrived(1), 0.0))
+        entry.handle(PeerReceived("", answer(first)), 0.1)
+        slow = report("i-2", slowdown=7.0)
+        entry.handle(LoadHeard("127.0.0.2", slow), 0.2)
+        (second,) = sent(entry.handle(arrived(2), 0.25))
+        self.assertEqual(second.incarnation, "i-1")
+
+    def test_an_old_report_of_slowness_is_forgotten(self):
+        entry = entry_with(endpoint(1, "b"), endpoint(2, "a"))
+        sent(entry.handle(arrived(1), 0.0))
+        entry.handle(LoadHeard("127.0.0.2", report("i-2", slowdown=7.0)), 0.2)
+        (second,) = sent(entry.handle(arrived(2), 5.0))
+        self.assertEqual(second.incarnation, "i-2")
+
+    def test_a_handed_back_request_is_sent_on_with_what_the_guard_told(self):
+        entry = entry_with(endpoint(1), endpoint(2))
+        (first,) = sent(entry.handle(arrived(1, "bind"), 0.0))
+        load = report(first.incarnation, slowdown=7.0)
+        (second,) = sent(entry.handle(ended(first, "not-run", SLOW, load=load), 0.01))
+        self.assertNotEqual(second.incarnation, first.incarnation)
+
+    def test_a_request_is_not_handed_back_for_ever(self):
+        entry = entry_with(endpoint(1))
+        (current,) = sent(entry.handle(arrived(1), 0.0))
+        for _ in range(MAX_HAND_BACKS):
+            self.assertGreater(current.assumed_slowdown, 0)
+            (current,) = sent(entry.handle(ended(current, "not-run", SLOW), 0.01))
+        self.assertEqual(current.assumed_slowdown, 0)
+
+    def test_a_late_idempotent_request_is_hedged_and_the_loser_cancelled(self):
+        entry = entry_with(endpoint(1), endpoint(2))
+        (first,) = sent(entry.handle(arrived(), 0.0))
+        (second,) = sent(run_until(entry, 0.0, 0.4))
+        self.assertNotEqual(first.incarnation, second.incarnation)
+        actions = entry.handle(PeerReceived("", answer(second)), 0.45)
+        self.assertEqual(len(answers(actions)), 1)
+        cancels = [a.message for a in actions if isinstance(a, SendPeer)]
+        self.assertIn(CancelAttempt(first.attempt_id), cancels)
+
+    def test_what_must_not_run_twice_is_never_hedged(self):
+        entry = entry_with(endpoint(1), endpoint(2))
+        entry.handle(arrived(name="bind"), 0.0)
+        self.assertEqual(sent(run_until(entry, 0.0, 5.0)), [])
+
+    def test_a_paused_entry_answers_what_timed_out_before_it_reads_on(self):
+        entry = entry_with(endpoint(1))
+        entry.handle(arrived(), 0.0)
+        (reply,) = answers(entry.handle(Tick(), 30.0))
+        self.assertEqual(reply.reason, "timeout")
--- /dev/null
+++ b/tests/proxy/test_proxy_guard.py
@@ -0,0 +1,230 @@
+"""What a guard lets through to its server."""
+
+import unittest
+
+from pollenroad.boundary import (
+    CancelAtServer,
+    PeerReceived,
+    RunAtServer,
+    ServerAnswered,
+    ServerFailed,
+    ServerShed,
+    StopRequested,
+    Tick,
+)
+from pollenroad.messages import CancelAttempt, Response
+from pollenroad.proxy.boundary import (
+    CheckServer,
+    DirectoryChanged,
+    EntryLost,
+    ServerSeen,
+    ServerSilent,
+    TellLoad,
+)
+from pollenroad.proxy.guard import FULL, SILENT_CHECKS, SLOW
+from pollenroad.proxy.models import DomainOut
+from tests.proxy.samples import attempt, endpoint, guard_with, of_kind, refusals, run_until
+
+PEER = "127.0.0.9:7000"
+
+
+def hand(guard, now: float = 0.0, number: int = 1, **changes) -> list:
+    return guard.handle(PeerReceived(PEER, attempt(number, **changes)), now)
+
+
+def change(guard, *items, now: float = 1.0) -> list:
+    event = DirectoryChanged(99, items)
+    guard._directory.handle(event, now)
+    return guard.handle(event, now)
+
+
+def fill(guard, count: int = 4) -> None:
+    for number in range(100, 100 + count):
+        hand(guard, number=number)
+
+
+class ClosedTest(unittest.TestCase):
+    def _reason(self, guard, **changes) -> str:
+        (refusal,) = refusals(hand(guard, 1.0, number=50, **changes))
+        self.assertEqual((refusal.verdict, refusal.reached_server), ("not-run", False))
+        return refusal.reason
+
+    def test_a_leaving_endpoint_gets_nothing_new(self):
+        guard = guard_with(endpoint(1))
+        change(guard, endpoint(1, is_leaving=True, revision=20))
+        self.assertEqual(self._reason(guard), "leaving")
+
+    def test_what_waits_is_refused_when_the_endpoint_leaves(self):
+        guard = guard_with(endpoint(1))
+        fill(guard)
+        hand(guard, number=5)
+        actions = change(guard, endpoint(1, is_leaving=True, revision=20), now=0.01)
+        self.assertEqual([r.reason for r in refusals(actions)], ["leaving"])
+        self.assertEqual(guard.in_flight, 4)
+
+    def test_a_domain_out_of_service_gets_nothing_new(self):
+        guard = guard_with(endpoint(1, "a"))
+        change(guard, DomainOut("a", True))
+        self.assertEqual(self._reason(guard), "out-of-service")
+
+    def test_another_incarnation_is_not_given_the_request(self):
+        self.assertEqual(self._reason(guard_with(endpoint(1)), incarnation="i-0"), "not-here")
+
+    def test_an_unregistered_server_gets_nothing(self):
+        guard = guard_with(endpoint(1))
+        guard.server = "127.0.0.1:9999"
+        self.assertEqual(self._reason(guard), "not-here")
+
+    def test_a_stopping_daemon_takes_nothing_new_and_finishes_the_rest(self):
+        guard = guard_with(endpoint(1))
+        hand(guard)
+        guard.handle(StopRequested(), 0.5)
+        self.assertEqual(self._reason(guard), "leaving")
+        (done,) = refusals(guard.handle(ServerAnswered("entry-1", Response(200)), 1.5))
+        self.assertEqual(done.verdict, "ran")
+
+    def test_a_late_attempt_is_refused(self):
+        self.assertEqual(self._reason(guard_with(endpoint(1)), remaining_ms=0.0), "deadline")
+
+    def test_a_repeated_attempt_is_dropped(self):
+        guard = guard_with(endpoint(1))
+        hand(guard)
+        self.assertEqual(refusals(hand(guard)), [])
+        self.assertEqual(guard.in_flight, 1)
+
+    def test_a_silent_server_gets_nothing(self):
+        guard = guard_with(endpoint(1))
+        for _ in range(SILENT_CHECKS):
+            guard.handle(ServerSilent("no answer"), 0.5)
+        self.assertEqual(self._reason(guard), "server-down")
+        guard.handle(ServerSeen(), 0.9)
+        self.assertEqual(len(of_kind(hand(guard, 1.0, number=51), RunAtServer)), 1)
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_no_more_than_the_slots_are_at_the_server(self):
+        guard = guard_with(endpoint(1))
+        started = [a for n in range(1, 9) for a in of_kind(hand(guard, number=n), RunAtServer)]
+        self.assertEqual((len(started), guard.queued), (4, 4))
+        actions = guard.handle(ServerAnswered("entry-1", Response(200)), 0.05)
+        self.assertEqual(len(of_kind(actions, RunAtServer)), 1)
+
+    def test_the_higher_priority_goes_first(self):
+        guard = guard_with(endpoint(1))
+        fill(guard)
+        hand(guard, number=5, priority=2, request_class="low")
+        hand(guard, number=6, priority=0, request_class="high")
+        actions = guard.handle(ServerAnswered("entry-100", Response(200)), 0.02)
+        (run,) = of_kind(actions, RunAtServer)
+        self.assertEqual(run.attempt.attempt_id, "entry-6")
+
+    def test_what_cannot_start_soon_is_refused_as_not_run(self):
+        guard = guard_with(endpoint(1))
+        fill(guard)
+        hand(guard, number=5)
+        (refusal,) = refusals(run_until(guard, 0.0, 0.3))
+        self.assertEqual((refusal.reason, refusal.verdict), ("overloaded", "not-run"))
+
+    def test_a_full_or_slow_server_hands_back_what_its_entry_did_not_expect(self):
+        guard = guard_with(endpoint(1))
+        fill(guard)
+        (refusal,) = refusals(hand(guard, number=5, assumed_slowdown=1.0))
+        self.assertEqual((refusal.reason, refusal.load.in_flight), (FULL, 4))
+        guard = guard_with(endpoint(1))
+        guard.handle(ServerSeen(slowdown=7.0), 0.0)
+        (refusal,) = refusals(hand(guard, number=6, assumed_slowdown=1.0))
+        self.assertEqual((refusal.reason, refusal.load.slowdown), (SLOW, 7.0))
+        self.assertEqual(len(of_kind(hand(guard, number=7, assumed_slowdown=7.0), RunAtServer)), 1)
+        self.assertEqual(len(of_kind(hand(guard, number=8), RunAtServer)), 1)
+
+    def test_verdicts_of_the_server_are_passed_on(self):
+        guard = guard_with(endpoint(1))
+        hand(guard, number=1)
+        hand(guard, number=2)
+        hand(guard, number=3)
+        (shed,) = refusals(guard.handle(ServerShed("entry-1"), 0.1))
+        (lost,) = refusals(guard.handle(ServerFailed("entry-2", True, "reset"), 0.1))
+        (unsent,) = refusals(guard.handle(ServerFailed("entry-3", False, "refused"), 0.1))
+        self.assertEqual((shed.verdict, shed.reached_server), ("not-run", True))
+        self.assertEqual((lost.verdict, lost.reached_server), ("unknown", True))
+        self.assertEqual((unsent.verdict, unsent.reached_server), ("not-run", False))
+
+    def test_work_ends_when_its_entry_no_longer_wants_it(self):
+        guard = guard_with(endpoint(1))
+        hand(guard)
+        actions = guard.handle(PeerReceived(PEER, CancelAttempt("entry-1")), 0.1)
+        self.assertEqual(of_kind(actions, CancelAtServer), [CancelAtServer("entry-1")])
+        self.assertEqual(refusals(guard.handle(ServerFailed("entry-1", True, "x"), 0.1)), [])
+
+    def test_a_cancel_that_overtakes_its_attempt_keeps_it_from_the_server(self):
+        guard = guard_with(endpoint(1))
+        guard.handle(PeerReceived(PEER, CancelAttempt("entry-1")), 0.0)
+        self.assertEqual(of_kind(hand(guard), RunAtServer), [])
+
+    def test_work_past_its_deadline_is_ended(self):
+        guard = guard_with(endpoint(1))
+        hand(guard)
+        actions = run_until(guard, 0.0, 1.01)
+        self.assertEqual(of_kind(actions, CancelAtServer), [CancelAtServer("entry-1")])
+        self.assertEqual([r.verdict for r in refusals(actions)], ["unknown"])
+
+    def test_only_idempotent_work_of_a_lost_entry_is_ended(self):
+        guard = guard_with(endpoint(1))
+        hand(guard, number=1)
+        hand(guard, number=2, idempotent=False)
+        actions = guard.handle(EntryLost(PEER), 0.1)
+        self.assertEqual(of_kind(actions, CancelAtServer), [CancelAtServer("entry-1")])
+
+
+class ColdTest(unittest.TestCase):
+    def _most_in_a_second(self, guard, seconds: float = 3.0) -> int:
+        starts, now, number = [], 0.0, 0
+        while now < seconds:
+            number += 1
+            actions = hand(guard, now, number=number, remaining_ms=200.0)
+            actions += run_until(guard, now, now + 0.01)
+            for run in of_kind(actions, RunAtServer):
+                starts.append(now)
+                guard.handle(ServerAnswered(run.attempt.attempt_id, Response(200)), now + 0.01)
+            now += 0.01
+        return max(sum(1 for s in starts if t <= s < t + 1.0) for t in starts)
+
+    def test_a_cold_server_gets_no_more_than_its_rate(self):
+        guard = guard_with(endpoint(1, cold_s=60.0))
+        guard.handle(Tick(), 0.0)
+        self.assertLessEqual(self._most_in_a_second(guard), 10 * 1.5 + 5)
+
+    def test_a_server_that_says_it_is_cold_again_is_spared_at_once(self):
+        guard = guard_with(endpoint(1))
+        guard.handle(ServerSeen(cold_s=60.0), 0.0)
+        self.assertLessEqual(self._most_in_a_second(guard), 10 * 1.5 + 5)
+
+    def test_a_guard_that_starts_beside_a_warm_server_does_not_spare_it(self):
+        guard = guard_with(endpoint(1, cold_s=0.0))
+        self.assertGreater(self._most_in_a_second(guard), 50)
+
+    def test_a_server_is_warm_again_in_time(self):
+        guard = guard_with(endpoint(1))
+        guard.handle(ServerSeen(cold_s=1.0), -2.0)
+        self.assertGreater(self._most_in_a_second(guard), 50)
+
+
+class ReportTest(unittest.TestCase):
+    def test_health_is_asked_only_as_often_as_allowed(self):
+        guard = guard_with(endpoint(1))
+        checks, now = 0, 0.0
+        while now < 1.0:
+            for _ in of_kind(run_until(guard, now, now), CheckServer):
+                checks += 1
+                guard.handle(ServerSeen(), now + 0.001)
+            now += 0.005
+        self.assertTrue(1 < checks <= 60, checks)
+
+    def test_entries_are_told_when_the_server_turns_slow_and_when_it_recovers(self):
+        guard = guard_with(endpoint(1), endpoint(2))
+        guard.handle(ServerSeen(), 1.0)
+        (slow,) = of_kind(guard.handle(ServerSeen(slowdown=7.0), 2.0), TellLoad)
+        self.assertEqual((slow.report.slowdown, slow.hosts), (7.0, ("127.0.0.1", "127.0.0.2")))
+        (well,) = of_kind(guard.handle(ServerSeen(slowdown=1.0), 2.5), TellLoad)
+        self.assertEqual(well.report.slowdown, 1.0)
+        self.assertEqual(of_kind(guard.handle(ServerSeen(slowdown=1.1), 3.0), TellLoad), [])
--- /dev/null
+++ b/tests/proxy/test_proxy_relay.py
@@ -0,0 +1,142 @@
+"""Who watches the platform, and how the others follow."""
+
+import random
+import unittest
+
+from pollenroad.boundary import PeerReceived, SendPeer, Tick
+from pollenroad.messages import AskDirectory, Bulletin, DirectoryNews
+from pollenroad.proxy.boundary import (
+    DirectoryChanged,
+    DirectoryLost,
+    EndpointRemoved,
+    WatchDirectory,
+)
+from pollenroad.proxy.cores import Place, ProxyCores
+from pollenroad.proxy.relay import WATCHERS
+from tests.proxy.samples import RETRIES, SERVICE, configuration, endpoint, of_kind, read
+
+COUNT = 6
+
+
+class Fleet:
+    """Proxies of two failure domains that hear each other, in one process."""
+
+    def __init__(self, count: int = COUNT):
+        self.endpoints = [endpoint(n, "ab"[n % 2]) for n in range(1, count + 1)]
+        self.cores_by_peer = {e.guard: self._cores(e) for e in self.endpoints}
+        self.cut: set[str] = set()
+        self.now = 0.0
+
+    def _cores(self, own) -> ProxyCores:
+        place = Place(own.guard, own.failure_domain, SERVICE, own.server)
+        return ProxyCores(own.incarnation, place, RETRIES, random.Random(1), 0.0)
+
+    def post(self, peer: str, event) -> list:
+        actions = self.cores_by_peer[peer].handle(event, self.now)
+        for action in of_kind(actions, SendPeer):
+            if not {peer, action.peer} & self.cut:
+                self.post(action.peer, PeerReceived(peer, action.message))
+        return actions
+
+    def start(self) -> None:
+        for peer in self.cores_by_peer:
+            self.post(peer, read(*self.endpoints))
+        self.run(5.0)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.05
+            for peer in self.cores_by_peer:
+                self.post(peer, Tick())
+
+    def watchers(self) -> list[str]:
+        return sorted(p for p, cores in self.cores_by_peer.items() if cores.relay.is_watching)
+
+    def versions(self) -> set[int]:
+        return {c.directory.configuration.version for c in self.cores_by_peer.values()}
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(12)
+        self.fleet.start()
+
+    def _change(self, revision: int, *items, after: int = 10) -> None:
+        for peer in self.fleet.watchers():
+            if peer not in self.fleet.cut:
+                self.fleet.post(peer, DirectoryChanged(revision, items, after))
+
+    def test_a_few_daemons_of_each_domain_watch(self):
+        domain_by_peer = {e.guard: e.failure_domain for e in self.fleet.endpoints}
+        domains = [domain_by_peer[peer] for peer in self.fleet.watchers()]
+        self.assertEqual((domains.count("a"), domains.count("b")), (WATCHERS, WATCHERS))
+
+    def test_a_change_reaches_every_daemon(self):
+        self._change(11, configuration(7))
+        self.assertEqual(self.fleet.versions(), {7})
+
+    def test_a_removed_and_a_leaving_endpoint_are_told(self):
+        self._change(11, EndpointRemoved("i-3"), endpoint(4, "a", is_leaving=True, revision=11))
+        for cores in self.fleet.cores_by_peer.values():
+            names = {e.incarnation for e in cores.directory.endpoints(SERVICE)}
+            self.assertFalse(names & {"i-3", "i-4"}, cores.relay._address)
+
+    def test_another_daemon_watches_where_a_watcher_is_cut_off(self):
+        lost = self.fleet.watchers()[0]
+        self.fleet.cut = {lost}
+        self.fleet.run(3.0)
+        self.assertEqual(len(set(self.fleet.watchers()) - {lost}), 2 * WATCHERS)
+        self._change(11, configuration(7))
+        rest = {p: c for p, c in self.fleet.cores_by_peer.items() if p != lost}
+        self.assertEqual({c.directory.configuration.version for c in rest.values()}, {7})
+
+    def test_a_watcher_that_the_platform_turns_away_is_replaced(self):
+        lost = self.fleet.watchers()[0]
+        self.fleet.post(lost, DirectoryLost("turned away"))
+        self.fleet.run(3.0)
+        self.assertGreater(len(self.fleet.watchers()), 2 * WATCHERS)
+
+    def test_who_missed_a_change_asks_for_everything(self):
+        behind = next(p for p in self.fleet.cores_by_peer if p not in self.fleet.watchers())
+        self.fleet.cut = {behind}
+        self._change(11, configuration(7))
+        self.fleet.cut = set()
+        self.fleet.run(1.5)
+        self.assertEqual(self.fleet.versions(), {7})
+
+    def test_news_with_a_gap_is_not_taken_for_the_whole(self):
+        peer, cores = next(iter(self.fleet.cores_by_peer.items()))
+        news = DirectoryNews(after=15, revision=16, configuration=configuration(9))
+        cores.handle(PeerReceived("x", news), self.fleet.now)
+        self.assertEqual((cores.directory.revision, self.fleet.versions()), (10, {1}))
+
+    def test_older_news_change_nothing(self):
+        self._change(11, configuration(7))
+        cores = next(iter(self.fleet.cores_by_peer.values()))
+        news = DirectoryNews(after=0, revision=5, is_whole=True, configuration=configuration(2))
+        cores.handle(PeerReceived("x", news), self.fleet.now)
+        self.assertEqual(cores.directory.configuration.version, 7)
+
+    def test_who_hears_nobody_watches_alone(self):
+        cores = Fleet(12).cores_by_peer["127.0.0.1:7000"]
+        cores.handle(read(*self.fleet.endpoints), 0.0)
+        actions = [a for step in range(60) for a in cores.handle(Tick(), step / 20)]
+        self.assertIn(WatchDirectory(True), actions)
+
+    def test_bulletins_of_other_domains_do_not_count(self):
+        cores = Fleet(12).cores_by_peer["127.0.0.1:7000"]
+        cores.handle(read(*self.fleet.endpoints), 0.0)
+        for step in range(80):
+            for number in (2, 4, 6, 8):
+                bulletin = PeerReceived(f"127.0.0.{number}:7000", Bulletin(10, True))
+                cores.handle(bulletin, step / 20)
+            cores.handle(Tick(), step / 20)
+        self.assertTrue(cores.relay.is_watching)
+
+    def test_whoever_asks_is_told_everything(self):
+        cores = next(iter(self.fleet.cores_by_peer.values()))
+        actions = cores.handle(PeerReceived("x", AskDirectory()), self.fleet.now)
+        (reply,) = (a for a in of_kind(actions, SendPeer) if a.peer == "x")
+        self.assertTrue(reply.message.is_whole)
+        self.assertEqual(len(reply.message.endpoints), 12)
--- /dev/null
+++ b/tests/users/server.py
@@ -0,0 +1,147 @@
+"""A stand-in for one of the users' servers, with the faults that they have."""
+
+import threading
+import time
+from collections import Counter
+from socketserver import StreamRequestHandler, ThreadingTCPServer
+
+from tests.users.store import StandInStore
+from tests.users.wires import answer_bytes, read_message
+
+
+class _Server(ThreadingTCPServer):
+    allow_reuse_address = True
+    daemon_threads = True
+
+
+class StandInServer:
+    """A server on a loopback address that registers itself in the store.
+
+    Attributes:
+        fault: Empty, or what it does to answers: `cut`, `extra`, `unsigned`, `other`, `encoded`,
+            `refuse` (503 without proof), `shed` (503 with proof), `error` (500), `reset`,
+            `silent`, `unframed`.
+        runs: How often each request ran, by id.
+        misdeliveries: Requests that this server must not have been given.
+    """
+
+    def __init__(self, store: StandInStore, host: str, port: int, service: str, zone: str):
+        self.fault = ""
+        self.work_s = 0.005
+        self.slowness = 100
+        self.cold_until = 0.0
+        self.runs: Counter[str] = Counter()
+        self.arrived_at: list[float] = []
+        self.callers: set[str] = set()
+        self.misdeliveries: list[str] = []
+        self.is_leaving = False
+        self._store = store
+        self._service, self._zone = service, zone
+        self._running = 0
+        self._lock = threading.Lock()
+        self.id = f"i-{host.replace('.', '-')}-{port}-{time.monotonic_ns()}"
+        self.address = f"{host}:{port}"
+        server = self
+
+        class Handler(StreamRequestHandler):
+            def handle(self):
+                try:
+                    server._serve(self)
+                except OSError:
+                    return  # The guard has closed the connection: it cancelled the request.
+
+        self._server = _Server((host, port), Handler)
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self.register()
+
+    def register(self, state: str = "ready", cold_ms: int = 0) -> None:
+        """Write the entry of this server."""
+        self.is_leaving = state == "draining"
+        entry = {
+            "service": self._service,
+            "addr": self.address,
+            "zone": self._zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_left": f"{cold_ms}ms",
+            "seq": 1,
+            "born": 1,
+        }
+        self._store.put(f"servers/{self.id}", entry)
+
+    def deregister(self) -> None:
+        """Remove the entry, as when its lease runs out."""
+        self._store.delete(f"servers/{self.id}")
+
+    def close(self) -> None:
+        """End the server."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _serve(self, handler: StreamRequestHandler) -> None:
+        while (message := read_message(handler.rfile)) is not None:
+            first, headers, body = message
+            method, path, _ = first.split()
+            if path == "/healthz":
+                answer = self._health()
+            else:
+                answer = self._run(handler, method, path, headers, body)
+            if answer is None:
+                return
+            handler.wfile.write(answer)
+            if self.fault in ("cut", "unframed") and path != "/healthz":
+                return
+
+    def _health(self) -> bytes:
+        cold_ms = max(0, int((self.cold_until - time.monotonic()) * 1000))
+        fields = self._load() | {"X-Instance-Id": self.id, "X-Cold-Ms": str(cold_ms)}
+        return answer_bytes(503 if self.is_leaving else 200, fields, b"")
+
+    def _load(self) -> dict[str, str]:
+        return {"X-Server-Load": f"{self._running},0,8,{self.slowness}"}
+
+    def _run(self, handler, method: str, path: str, headers: dict, body: bytes) -> bytes | None:
+        attempt = headers.get("x-attempt-id", "")
+        expected = headers.get("x-expect-instance", "")
+        if expected != self.id:
+            return answer_bytes(421, {"X-Instance-Id": self.id}, b"")
+        if "x-deadline-ms" not in headers or "x-caller-service" not in headers:
+            self.misdeliveries.append(attempt)
+        self.callers.add(headers.get("x-caller-service", ""))
+        if self.fault == "shed":
+            return answer_bytes(503, {"X-Not-Executed": "1"}, b"")
+        with self._lock:
+            self._running += 1
+            self.runs[attempt] += 1
+            self.arrived_at.append(time.monotonic())
+        time.sleep(self.work_s * self.slowness / 100)
+        with self._lock:
+            self._running -= 1
+        return self._answer(attempt, f"{method} {path} {len(body)}".encode())
+
+    def _answer(self, attempt: str, body: bytes) -> bytes | None:
+        fields = self._load() | {"X-Attempt-Id": attempt, "X-Response-Signature": f"sig.{attempt}"}
+        whole = answer_bytes(200, fields, body)
+        match self.fault:
+            case "cut":
+                return whole[:-3]
+            case "extra":
+                return whole + answer_bytes(200, fields, b"again")
+            case "unsigned":
+                return answer_bytes(200, {"X-Attempt-Id": attempt}, body)
+            case "other":
+                return answer_bytes(200, fields | {"X-Attempt-Id": "other"}, body)
+            case "encoded":
+                return answer_bytes(200, fields | {"Content-Encoding": "gzip"}, body)
+            case "refuse":
+                return answer_bytes(503, fields, b"")
+            case "error":
+                return answer_bytes(500, fields, b"broken")
+            case "reset":
+                return None
+            case "silent":
+                time.sleep(30)
+            case "unframed":
+                return answer_bytes(200, fields | {"Connection": "close"}, body, framed=False)
+        return whole
--- /dev/null
+++ b/tests/users/test_users_path.py
@@ -0,0 +1,251 @@
+"""The whole path on the users' formats: client, daemon, daemon, server, as separate processes."""
+
+import json
+import signal
+import unittest
+
+from tests.users.fleet import CALL, METRICS, PEER, UsersFleet, await_condition, configuration
+from tests.users.wires import answer_bytes, call, connect, read_message, request_bytes
+
+READ, WRITE = "/alpha/read/17", "/alpha/write/17"
+
+
+class PathTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = UsersFleet(3, 101)
+        cls.addClassCleanup(cls.fleet.close)
+        cls.fleet.start_all()
+        cls.count = 0
+
+    def setUp(self):
+        for server in self.fleet.server_by_host.values():
+            server.fault, server.work_s = "", 0.005
+
+    def _id(self) -> str:
+        type(self).count += 1
+        return f"t{self.count}"
+
+    def _fault(self, fault: str) -> None:
+        for server in self.fleet.server_by_host.values():
+            server.fault = fault
+
+    def _runs(self, attempt: str) -> int:
+        return sum(server.runs[attempt] for server in self.fleet.server_by_host.values())
+
+    def test_a_request_is_served_unchanged(self):
+        attempt = self._id()
+        status, headers, body = self.fleet.request(
+            self.fleet.hosts[0], f"{WRITE}?x=1", attempt, "POST", b"crew"
+        )
+        self.assertEqual((status, body), (200, f"POST {WRITE}?x=1 4".encode()))
+        self.assertEqual(headers["x-response-signature"], f"sig.{attempt}")
+        self.assertEqual(headers["x-attempt-id"], attempt)
+
+    def test_the_caller_is_the_service_of_the_vm_whatever_was_sent(self):
+        self.fleet.request(self.fleet.hosts[0], READ, self._id(), **{"X-Caller-Service": "forged"})
+        callers = {c for s in self.fleet.server_by_host.values() for c in s.callers}
+        self.assertEqual(callers, {"alpha"})
+        self.assertFalse(any(s.misdeliveries for s in self.fleet.server_by_host.values()))
+
+    def test_a_path_without_a_route_is_not_found(self):
+        self.assertEqual(self.fleet.request(self.fleet.hosts[0], "/none/", self._id())[0], 404)
+
+    def test_spoilt_answers_never_become_a_success(self):
+        for fault in ("cut", "unsigned", "encoded", "reset", "refuse"):
+            with self.subTest(fault=fault):
+                self._fault(fault)
+                attempt = self._id()
+                status, headers, _ = self.fleet.request(
+                    self.fleet.hosts[0], WRITE, attempt, "POST", b"x"
+                )
+                self.assertEqual((status, self._runs(attempt)), (502, 1))
+                self.assertNotIn("x-response-signature", headers)
+
+    def test_an_answer_to_another_request_is_passed_over(self):
+        self._fault("other")
+        attempt = self._id()
+        status, _, _ = self.fleet.request(self.fleet.hosts[0], WRITE, attempt, "POST", b"x")
+        self.assertEqual((status, self._runs(attempt)), (504, 1))
+
+    def test_bytes_behind_an_answer_belong_to_no_request(self):
+        self._fault("extra")
+        for _ in range(6):
+            attempt = self._id()
+            status, _, body = self.fleet.request(self.fleet.hosts[0], READ, attempt)
+            self.assertEqual((status, body), (200, f"GET {READ} 0".encode()))
+
+    def test_an_answer_that_ends_with_its_connection_is_whole(self):
+        self._fault("unframed")
+        status, _, body = self.fleet.request(self.fleet.hosts[0], READ, self._id())
+        self.assertEqual((status, body), (200, f"GET {READ} 0".encode()))
+
+    def test_a_failure_of_the_server_is_passed_on(self):
+        self._fault("error")
+        attempt = self._id()
+        status, headers, body = self.fleet.request(self.fleet.hosts[0], WRITE, attempt, "POST")
+        self.assertEqual((status, body), (500, b"broken"))
+        self.assertEqual(headers["x-response-signature"], f"sig.{attempt}")
+
+    def test_a_request_that_servers_shed_is_refused_with_advice(self):
+        self._fault("shed")
+        attempt = self._id()
+        status, headers, _ = self.fleet.request(self.fleet.hosts[0], WRITE, attempt, "POST")
+        self.assertEqual((status, self._runs(attempt)), (503, 0))
+        self.assertGreater(float(headers["retry-after"]), 0)
+
+    def test_pipelined_requests_run_together_and_are_answered_in_order(self):
+        for server in self.fleet.server_by_host.values():
+            server.work_s = 0.3
+        ids = [self._id() for _ in range(4)]
+        fields = {"Host": "shop.example", "X-Deadline-Ms": "3000"}
+        with connect(self.fleet.address(self.fleet.hosts[0], CALL)) as sock:
+            sock.sendall(
+                b"".join(request_bytes("GET", READ, fields | {"X-Attempt-Id": i}) for i in ids)
+            )
+            stream = sock.makefile("rb")
+            answered = [read_message(stream)[1]["x-attempt-id"] for _ in ids]
+        self.assertEqual(answered, ids)
+        arrivals = sorted(t for s in self.fleet.server_by_host.values() for t in s.arrived_at)[-4:]
+        self.assertLess(arrivals[-1] - arrivals[0], 0.3)
+
+    def test_a_body_in_chunks_arrives_whole(self):
+        head = (
+            f"POST {WRITE} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {self._id()}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        with connect(self.fleet.address(self.fleet.hosts[0], CALL)) as sock:
+            sock.sendall(head.encode() + b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n")
+            first, _, body = read_message(sock.makefile("rb"))
+        self.assertEqual(body, f"POST {WRITE} 7".encode())
+
+    def test_ambiguous_framing_is_refused_and_reaches_nobody(self):
+        attempt = self._id()
+        head = (
+            f"POST {WRITE} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {attempt}\r\n"
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        )
+        with connect(self.fleet.address(self.fleet.hosts[0], CALL)) as sock:
+            sock.sendall(head.encode() + request_bytes("GET", READ, {"Host": "shop.example"}))
+            stream = sock.makefile("rb")
+            self.assertIn("400", read_message(stream)[0])
+            self.assertEqual(stream.read(), b"")
+        self.assertEqual(self._runs(attempt), 0)
+
+    def test_work_ends_when_the_caller_leaves(self):
+        self._fault("silent")
+        fields = {"Host": "shop.example", "X-Attempt-Id": self._id(), "X-Deadline-Ms": "9000"}
+        with connect(self.fleet.address(self.fleet.hosts[0], CALL)) as sock:
+            sock.sendall(request_bytes("GET", READ, fields))
+            await_condition(lambda: self._gauge("server_in_flight_requests") == 1)
+        await_condition(lambda: self._gauge("server_in_flight_requests") == 0)
+
+    def _gauge(self, name: str) -> float:
+        total = 0.0
+        for host in self.fleet.hosts:
+            address = self.fleet.address(host, METRICS)
+            text = call(address, "GET", "/metrics", {"Host": "x"})[2].decode()
+            lines = (line.rsplit(" ", 1) for line in text.splitlines())
+            total += sum(float(value) for key, value in lines if key == f"pollenroad_{name}")
+        return total
+
+    def test_a_silent_server_is_answered_for_at_the_timeout(self):
+        self._fault("silent")
+        status, _, _ = self.fleet.request(self.fleet.hosts[0], WRITE, self._id(), "POST")
+        self.assertEqual(status, 504)
+
+    def test_strangers_on_the_peer_link_change_nothing(self):
+        with connect(self.fleet.address(self.fleet.hosts[0], PEER)) as sock:
+            sock.sendall(answer_bytes(200, {}, b"x" * 100))
+        self.assertEqual(self.fleet.request(self.fleet.hosts[0], READ, self._id())[0], 200)
+
+
+class ChangeTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = UsersFleet(3, 102)
+        self.addCleanup(self.fleet.close)
+        self.fleet.start_all()
+
+    def _status(self, host: str, path: str, attempt: str = "x") -> int:
+        return self.fleet.request(host, path, attempt)[0]
+
+    def _log(self, host: str) -> list[dict]:
+        lines = self.fleet.log_by_host[host].read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def test_a_configuration_comes_into_force_everywhere_and_older_ones_do_not(self):
+        self.fleet.store.put("op/config", configuration(9, timeout="1100ms"))
+        for host in self.fleet.hosts:
+            await_condition(lambda host=host: self._version(host) == 9)
+        self.fleet.store.put("op/config", configuration(4))
+        self.fleet.store.put("op/config", b"not json")
+        self.fleet.store.put("servers/forged", {"service": "alpha", "state": "odd"})
+        await_condition(lambda: self._events("configuration_refused"))
+        await_condition(lambda: self._events("item_refused"))
+        self.assertEqual({self._version(host) for host in self.fleet.hosts}, {9})
+
+    def _events(self, name: str) -> list[dict]:
+        return [e for host in self.fleet.hosts for e in self._log(host) if e["event"] == name]
+
+    def _version(self, host: str) -> int:
+        inforce = [e for e in self._log(host) if e["event"] == "configuration_in_force"]
+        return inforce[-1]["version"]
+
+    def test_a_leaving_server_gets_no_new_requests(self):
+        leaving = self.fleet.server_by_host[self.fleet.hosts[1]]
+        leaving.register("draining")
+        gone = {"guard_state": "draining"}
+        await_condition(lambda: any(e["state"] == gone["guard_state"] and e["vm"].endswith(
+            self.fleet.hosts[1]) for e in self._events("guard_state")))  # fmt: skip
+        before = sum(leaving.runs.values())
+        for number, host in enumerate(self.fleet.hosts * 4):
+            self.assertEqual(self._status(host, READ, f"n{number}"), 200)
+        self.assertEqual(sum(leaving.runs.values()), before)
+
+    def test_a_stopping_daemon_finishes_what_it_has_and_ends(self):
+        host = self.fleet.hosts[0]
+        for server in self.fleet.server_by_host.values():
+            server.work_s = 0.5
+        fields = {"Host": "shop.example", "X-Attempt-Id": "slow", "X-Deadline-Ms": "3000"}
+        with connect(self.fleet.address(host, CALL)) as sock:
+            sock.sendall(request_bytes("POST", WRITE, fields, b"x"))
+            await_condition(lambda: any(s.runs["slow"] for s in self.fleet.server_by_host.values()))
+            self.fleet.signal(host, signal.SIGTERM)
+            first, headers, _ = read_message(sock.makefile("rb"))
+        self.assertEqual((first.split()[1], headers["connection"]), ("200", "close"))
+        self.assertFalse(self.fleet.is_ready(host))
+        self.assertEqual(self.fleet.process_by_host[host].wait(10), 0)
+        self.assertEqual(self._log(host)[-1]["event"], "daemon_stopped")
+
+    def test_service_goes_on_while_the_store_is_away_and_follows_its_return(self):
+        for mode in ("busy", "silent", "reset"):
+            with self.subTest(mode=mode):
+                self.fleet.store.mode = mode
+                for number, host in enumerate(self.fleet.hosts):
+                    self.assertEqual(self._status(host, READ, f"{mode}{number}"), 200)
+                self.fleet.store.mode = ""
+        self.fleet.store.forget_history()
+        self.fleet.store.put("op/config", configuration(12))
+        for host in self.fleet.hosts:
+            await_condition(lambda host=host: self._version(host) == 12, 30.0)
+
+    def test_a_killed_daemon_is_passed_over_and_taken_back(self):
+        host, others = self.fleet.hosts[0], self.fleet.hosts[1:]
+        self.fleet.signal(host, signal.SIGKILL)
+        self.fleet.process_by_host[host].wait()
+        for number in range(10):
+            self.assertEqual(self._status(others[number % 2], READ, f"k{number}"), 200)
+        self.fleet.start(host)
+        await_condition(lambda: self.fleet.is_ready(host))
+        self.assertEqual(self._status(host, READ, "back"), 200)
+
+    def test_changed_settings_are_followed_without_a_signal(self):
+        host = self.fleet.hosts[0]
+        path = self.fleet.path(host, "json")
+        path.write_text("{}")
+        await_condition(lambda: self._events("settings_refused"))
+        path.write_text(json.dumps(self.fleet.settings(host) | {"service": "beta"}))
+        await_condition(lambda: self._events("settings_reloaded"))
+        self._status(host, READ, "after")
+        callers = {c for s in self.fleet.server_by_host.values() for c in s.callers}
+        self.assertIn("beta", callers)
