Stop a timer that ran for ever while the store was away; keep what can run in time

Ruled out: the pace of cold servers, whose timer was mended before. Test: test_nothing_is_dropped_while_the_platform_is_away.

--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -98,6 +98,10 @@
     assumed_slowdown: float = 0.0
     """Slowdown of the server that the entry assumed; 0 if the guard is not to hand the attempt back
     where it knows better."""
+    assumed_load: int = 0
+    """Requests at the server, running and waiting, that the entry assumed."""
+    usual_ms: float = 0.0
+    """Usual time of such a request at a server, in milliseconds, as far as the entry knows."""
 
 
 class AttemptAnswer(Message, tag="answer"):
--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -81,6 +81,8 @@
 
     def next_due(self) -> float | None:
         """Return when `due` is next needed, in monotonic seconds."""
+        if self._is_lost:
+            return None
         return min(self._doubtful_until.values(), default=None)
 
     # --- What the platform says ---
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -254,6 +254,8 @@
             caller=self.caller,
             objective_ms=max(0.0, call.started + route.objective_s - now) * 1000,
             priority=route.priority,
+            assumed_load=view.in_flight(),
+            usual_ms=self._work_s(route) * 1000,
             assumed_slowdown=0.0 if is_last else max(1.0, view.current_slowdown(now)),
         )
 
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -70,11 +70,16 @@
 CHECK_TIMEOUT_S = 1.0
 """Time for a health check in seconds."""
 
-WAIT_SHARE = 0.3
-"""Share of the time left until the latency objective that an attempt may wait for a slot."""
+WAIT_SHARE = 0.25
+"""Share of its remaining time that an attempt may wait for a slot in any case, so that it can still
+run, or be refused in time for another endpoint."""
+
+ROOM_FACTOR = 1.3
+"""Room for its run that an attempt needs before the latency objective, as a multiple of the usual
+time: while there is more, waiting costs its caller nothing."""
 
 MIN_WAIT_S = 0.03
-"""Shortest such time in seconds."""
+"""Shortest time in seconds that an attempt may wait."""
 
 SILENT_CHECKS = 3
 """Health checks without an answer, one after the other, after which the server counts as down."""
@@ -209,8 +214,8 @@
 
     def _waiting(self, peer: str, attempt: Attempt, remaining_s: float, now: float) -> Waiting:
         rank = RequestClass(name=attempt.request_class, worth=1 / (1 + attempt.priority))
-        wait_s = WAIT_SHARE * min(remaining_s, max(attempt.objective_ms / 1000, remaining_s / 4))
-        start_by = now + max(MIN_WAIT_S, wait_s)
+        room_s = (attempt.objective_ms - ROOM_FACTOR * attempt.usual_ms) / 1000
+        start_by = now + max(MIN_WAIT_S, WAIT_SHARE * remaining_s, room_s)
         return Waiting(peer, attempt, rank, now, now + remaining_s, start_by)
 
     def _refusal(self, attempt: Attempt, remaining_s: float) -> str:
@@ -225,7 +230,7 @@
         if attempt.assumed_slowdown:
             if self._last_seen.slowdown >= HAND_BACK_FACTOR * attempt.assumed_slowdown:
                 return SLOW
-            if self.in_flight + self.queued >= self._slots():
+            if attempt.assumed_load < self._slots() <= self.in_flight + self.queued:
                 return FULL
         return ""
 
--- a/src/pollenroad/proxy/http1.py
+++ b/src/pollenroad/proxy/http1.py
@@ -111,9 +111,10 @@
                     return reply
                 if not reply.can_reuse and not self._rest:
                     break
-        except (OSError, h11.ProtocolError) as error:
-            reason = f"{type(error).__name__}: {error}"
-            raise ExchangeError(reason, reached=True) from error
+        except h11.ProtocolError as error:
+            raise ExchangeError(f"no whole answer: {error}", reached=True) from error
+        except OSError as error:
+            raise ExchangeError(f"connection broke: {error}", reached=True) from error
         raise ExchangeError("only answers to other requests", reached=True)
 
     def _read_reply(self, request: h11.Request, body: bytes) -> Reply:
@@ -125,7 +126,10 @@
         while True:
             match connection.next_event():
                 case h11.NEED_DATA:
-                    connection.receive_data(self._sock.recv(READ_BYTES))
+                    data = self._sock.recv(READ_BYTES)
+                    if not data and response is None:
+                        raise ExchangeError("closed without an answer", reached=True)
+                    connection.receive_data(data)
                 case h11.Response() as response:
                     pass
                 case h11.Data(data=data):
--- a/tests/proxy/test_proxy_directory.py
+++ b/tests/proxy/test_proxy_directory.py
@@ -97,6 +97,7 @@
         directory.handle(DirectoryLost("no answer"), 11.5)
         directory.due(60.0)
         self.assertEqual(names(directory), ["i-1", "i-2"])
+        self.assertIsNone(directory.next_due(), "a timer that does nothing would run for ever")
 
     def test_many_registrations_that_end_together_are_taken_as_lapsed(self):
         directory = directory_with(*(endpoint(n) for n in range(1, 7)))
