Divide the bound on retries by the daemons that are known; look at late attempts again

The share now follows from the endpoints in the directory. Test: test_all_entries_together_stay_within_the_bound_on_retries. Cause (looks): a hedge that found no better endpoint was never looked for again, and a request behind it in the pipeline was held past its timeout.

--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -58,13 +58,6 @@
 SETTINGS_POLL_S = 1.0
 """Time between two looks at the settings file, in seconds: it may change without a signal."""
 
-RETRY_SHARE = 0.5
-"""Part of the fleet's bound on retries that is used: calls that a repeated run makes count as
-repeats at the service that they go to."""
-
-FLEET_MIN = 8
-"""Daemons assumed to share the bound on retries, at the least."""
-
 
 class ProxyDaemon:
     """One proxy: the cores, and the sockets round them.
@@ -255,6 +248,5 @@
 
 
 def _budget_rules(settings: ProxySettings) -> BudgetRules:
-    """Divide the fleet's bound on retries among the daemons."""
-    per_s = settings.retry_slack / seconds(settings.retry_window) / FLEET_MIN
-    return BudgetRules(ratio=settings.retry_ratio * RETRY_SHARE, per_s=per_s * RETRY_SHARE)
+    window_s = seconds(settings.retry_window)
+    return BudgetRules(settings.retry_ratio, settings.retry_slack, window_s)
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -71,10 +71,24 @@
 SLOW_LOOK_S = 0.01
 """Time until that look, in seconds: the answer may be under way."""
 
+LOOK_AGAIN_S = 0.1
+"""Time between two looks at a late attempt, in seconds."""
+
 ANSWER_MARGIN_S = 0.015
 """Time kept for the way of the answer out of what a server may use, in seconds."""
 
 
+RATIO_SHARE = 0.5
+"""Part of the bound's ratio that entries use: the calls that a repeated run makes count as repeats
+at the service that they go to."""
+
+SLACK_SHARE = 0.8
+"""Part of the bound's slack that entries use, so that some may believe in a smaller fleet."""
+
+FLEET_MIN = 4
+"""Entries assumed to share the bound at the least."""
+
+
 @dataclass(slots=True)
 class OpenCall:
     """A request without an answer yet."""
@@ -110,12 +124,21 @@
 class BudgetRules:
     """Bound on sends beyond the first of each request, for the whole fleet."""
 
-    ratio: float = 0.1
-    """Share of the requests of a service that may be sent again."""
-    per_s: float = 0.3
-    """Sends beyond that an entry may make each second whatever the traffic is."""
-    capacity: float = 8.0
-    """Sends that an entry may have saved up for one service."""
+    ratio: float = 0.2
+    """Share of the requests of a service that may be sent again in a window."""
+    slack: float = 0.0
+    """Sends beyond that in a window."""
+    window_s: float = 10.0
+    """Length of the window, in seconds."""
+
+    def of_one(self, count: int) -> tuple[float, float, float]:
+        """Return ratio, tokens a second and capacity of the budget of one of `count` entries.
+
+        In every window an entry spends at most its capacity, and what it gained in the window by
+        the larger of traffic and time; over all entries that stays within the bound.
+        """
+        slack = self.slack * SLACK_SHARE / max(FLEET_MIN, count)
+        return self.ratio * RATIO_SHARE, slack / 2 / self.window_s, max(1.0, slack / 2)
 
 
 class Entry:
@@ -142,6 +165,8 @@
         self._timers = Timers()
         self._latencies_by_route: dict[str, Latencies] = {}
         self._budget_by_service: dict[str, Budget] = {}
+        self._budget_revision = -1
+        self._budget_of_one = rules.of_one(0)
 
     @property
     def open_calls(self) -> int:
@@ -450,16 +475,21 @@
         if len(call.open_attempt_ids) != 1 or call.sends >= call.route.max_attempts:
             return
         chosen = self._choose(call, now)
-        if chosen is None or now + chosen[1] > call.ends:
+        is_better = chosen is not None and self._is_quicker(call, chosen[1], now)
+        if is_better and self._budget(call.service, now).spend(now):
+            yield from self._send_to(call, *chosen, "hedge", now)
             return
+        self._timers.set(("look", call.arrived.call_id), now + LOOK_AGAIN_S)
+
+    def _is_quicker(self, call: OpenCall, cost_s: float, now: float) -> bool:
+        """Tell whether an endpoint of this cost is likely to answer before the open attempt."""
         (attempt_id,) = call.open_attempt_ids
         attempt = self._attempt_by_id[attempt_id]
+        if now + cost_s > call.ends:
+            return False
         work_s = self._work_s(call.route)
         left_s = max(work_s / 2, work_s - (now - attempt.sent_at))
-        if chosen[1] > left_s * max(SLOW_FACTOR, attempt.view.current_slowdown(now)):
-            return
-        if self._budget(call.service, now).spend(now):
-            yield from self._send_to(call, *chosen, "hedge", now)
+        return cost_s <= left_s * max(SLOW_FACTOR, attempt.view.current_slowdown(now))
 
     def _on_load(self, host: str, report: LoadReport, now: float) -> Iterator[Action]:
         view = self.fleet.get(report.endpoint)
@@ -483,13 +513,23 @@
         return FIRST_GUESS_SHARE * route.objective_s if usual_s is None else usual_s
 
     def _budget(self, service: str, now: float) -> Budget:
+        if self._budget_revision != self._directory.revision:
+            self._share_budget()
         budget = self._budget_by_service.get(service)
         if budget is None:
-            rules = self._rules
-            budget = Budget(rules.ratio, rules.per_s, rules.capacity, 1.0, now)
+            ratio, per_s, capacity = self._budget_of_one
+            budget = Budget(ratio, per_s, capacity, 1.0, now)
             self._budget_by_service[service] = budget
         return budget
 
+    def _share_budget(self) -> None:
+        """Divide the fleet's bound anew, by the daemons that are known now."""
+        self._budget_revision = self._directory.revision
+        count = len({endpoint.guard for endpoint in self._directory.all_endpoints()})
+        self._budget_of_one = self._rules.of_one(count)
+        for budget in self._budget_by_service.values():
+            budget.ratio, budget.per_s, budget.capacity = self._budget_of_one
+
 
 def _age_ms(since: float, now: float) -> int | None:
     return None if since == float("-inf") else round((now - since) * 1000)
--- a/tests/proxy/samples.py
+++ b/tests/proxy/samples.py
@@ -17,8 +17,8 @@
 )
 
 SERVICE = "registry"
-NO_RETRIES = BudgetRules(ratio=0.0, per_s=0.0, capacity=1.0)
-RETRIES = BudgetRules(ratio=1.0, per_s=1.0, capacity=10.0)
+NO_RETRIES = BudgetRules(ratio=0.0)
+RETRIES = BudgetRules(ratio=1.0, slack=100.0)
 
 
 def route(name: str = "lookup", **changes) -> Route:
--- a/tests/proxy/test_proxy_entry.py
+++ b/tests/proxy/test_proxy_entry.py
@@ -6,7 +6,7 @@
 from pollenroad.messages import AttemptAnswer, CancelAttempt
 from pollenroad.proxy.boundary import DirectoryChanged, LoadHeard
 from pollenroad.proxy.directory import make_directory
-from pollenroad.proxy.entry import HOLD_SHARE, MAX_HAND_BACKS, Entry
+from pollenroad.proxy.entry import HOLD_SHARE, MAX_HAND_BACKS, BudgetRules, Entry
 from pollenroad.proxy.guard import SLOW
 from pollenroad.verdicts import Verdict
 from tests.proxy.samples import (
@@ -110,6 +110,24 @@
         self.assertEqual(sent(actions), [])
         self.assertEqual(answers(actions)[0].verdict, Verdict.UNKNOWN)
 
+    def test_all_entries_together_stay_within_the_bound_on_retries(self):
+        rules = BudgetRules(ratio=0.2, slack=204.0, window_s=10.0)
+        for count in (1, 9, 82, 300):
+            endpoints = [endpoint(n, guard=f"127.0.{n}.1:7000") for n in range(1, count + 1)]
+            entry = entry_with(*endpoints, budget=rules)
+            requests = spent = 0
+            budget = entry._budget("registry", 0.0)
+            budget.tokens = budget.capacity
+            for step in range(1000):
+                now = step / 100
+                if step % 20 == 0:
+                    budget.first_attempt()
+                    requests += 1
+                spent += budget.spend(now)
+            entries = max(count, 1)
+            allowed = 0.2 * requests * entries + 204.0
+            self.assertLessEqual(spent * entries, max(allowed, 1.0 * entries), count)
+
     def test_no_more_servers_than_the_route_allows_get_a_request(self):
         entry, actions = self._second("lookup", "unknown")
         (second,) = sent(actions)
@@ -205,6 +223,16 @@
         cancels = [a.message for a in actions if isinstance(a, SendPeer)]
         self.assertIn(CancelAttempt(first.attempt_id), cancels)
 
+    def test_a_late_request_is_looked_at_again_while_no_endpoint_is_better(self):
+        entry = entry_with(endpoint(1), endpoint(2))
+        (first,) = sent(entry.handle(arrived(), 0.0))
+        other = {"i-1": "i-2", "i-2": "i-1"}[first.incarnation]
+        entry.handle(arrived(2), 0.0)
+        entry.fleet.view(endpoint(int(other[-1]))).learn(report(other, state="down"), 0.2)
+        self.assertEqual(sent(run_until(entry, 0.2, 0.4)), [])
+        entry.handle(LoadHeard("", report(other, sequence=2)), 0.45)
+        self.assertEqual([a.request_id for a in sent(run_until(entry, 0.45, 0.7))][:1], ["q1"])
+
     def test_what_must_not_run_twice_is_never_hedged(self):
         entry = entry_with(endpoint(1), endpoint(2))
         entry.handle(arrived(name="bind"), 0.0)
