--- a/src/pollenroad/cli.py
+++ b/src/pollenroad/cli.py
@@ -27,6 +27,7 @@
     "status": "show every daemon's state, and why",
     "audit": "show accepted and refused configuration over time",
     "explain": "tell what happened to one request",
+    "logs": "put the log lines of one request together, and say the cause",
     "call": "make one call through a daemon",
     "demo": "run the Cooperative's example on this machine",
     "bench": "measure",
--- a/tests/users/fleet.py
+++ b/tests/users/fleet.py
@@ -11,12 +11,13 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from tests.users.faulty_link import FaultyLink
 from tests.users.server import StandInServer
 from tests.users.store import StandInStore
 from tests.users.wires import call
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-CALL, PEER, READY, NOTICE, METRICS, APP = range(6)
+CALL, PEER, READY, NOTICE, METRICS, APP, HIDDEN = range(7)
 """Places of a fleet's ports, which are the same on all its VMs."""
 
 
@@ -64,12 +65,16 @@
         count: VMs; they are spread over three zones.
         subnet: Third number of the VMs' addresses, `127.0.SUBNET.N`.
         services: Services, dealt to the VMs in turn.
+        with_links: Whether a loopback proxy stands between each daemon and its server.
     """
 
-    def __init__(self, count: int, subnet: int, services=("alpha",)):
+    def __init__(self, count: int, subnet: int, services=("alpha",), with_links: bool = False):
         self.services = services
+        self.version = 1
         self._subnet = subnet
-        self._ports = free_ports(6)
+        self._ports = free_ports(7)
+        self._with_links = with_links
+        self.link_by_host: dict[str, FaultyLink] = {}
         self._directory = tempfile.TemporaryDirectory()
         self.store = StandInStore(self._host(0))
         self.hosts = [self._host(number) for number in range(1, count + 1)]
@@ -100,7 +105,12 @@
     def make_server(self, host: str) -> StandInServer:
         """Start the server of a VM."""
         port = self._ports[APP]
-        return StandInServer(self.store, host, port, self.service(host), self.zone(host))
+        service, zone = self.service(host), self.zone(host)
+        if not self._with_links:
+            return StandInServer(self.store, host, port, service, zone)
+        hidden = self._ports[HIDDEN]
+        self.link_by_host[host] = FaultyLink((host, port), (host, hidden))
+        return StandInServer(self.store, host, hidden, service, zone, self.address(host, APP))
 
     def settings(self, host: str) -> dict:
         """Return the settings of a daemon."""
@@ -168,6 +178,8 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        for link in self.link_by_host.values():
+            link.close()
         for server in self.server_by_host.values():
             server.close()
         self.store.close()
--- a/tests/users/server.py
+++ b/tests/users/server.py
@@ -25,7 +25,15 @@
         misdeliveries: Requests that this server must not have been given.
     """
 
-    def __init__(self, store: StandInStore, host: str, port: int, service: str, zone: str):
+    def __init__(
+        self,
+        store: StandInStore,
+        host: str,
+        port: int,
+        service: str,
+        zone: str,
+        published: str = "",
+    ):
         self.fault = ""
         self.work_s = 0.005
         self.slowness = 100
@@ -40,7 +48,7 @@
         self._running = 0
         self._lock = threading.Lock()
         self.id = f"i-{host.replace('.', '-')}-{port}-{time.monotonic_ns()}"
-        self.address = f"{host}:{port}"
+        self.address = published or f"{host}:{port}"
         server = self
 
         class Handler(StreamRequestHandler):
--- /dev/null
+++ b/tests/users/soak.py
@@ -0,0 +1,294 @@
+"""A randomized soak of real daemons: faults from outside, promises checked from outside.
+
+Run some seeds by hand with `python -m tests.users.soak --seeds 1-50`. What happens follows from the
+seed; the timing of the machine does not. A seed that ever failed stays in `REGRESSIONS`.
+"""
+
+import argparse
+import json
+import random
+import signal
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from tests.users.fleet import CALL, UsersFleet, await_condition, configuration
+from tests.users.wires import connect, read_message, request_bytes
+
+REGRESSIONS: dict[int, str] = {}
+"""Seeds that once failed, each with a line on the cause."""
+
+VMS = 6
+CLIENTS = 8
+DRAIN_S = 2.0
+"""Time after which a leaving server gets nothing new, as the users' pages state it."""
+
+CALM_S = 3.0
+"""Time without a fault before which no time limit is held against a daemon."""
+
+RECOVERY_S = 15.0
+"""Time after the last fault in which everything must serve again."""
+
+PROMISES = ("408", "421", "429", "503")
+"""Statuses that promise that a request has not run."""
+
+SERVER_FAULTS = ("cut", "extra", "unsigned", "encoded", "refuse", "shed", "error", "reset", "")
+LINK_FAULTS = ("delay", "silent", "one-way", "refuse", "")
+
+
+@dataclass
+class Sent:
+    """A client attempt, and what its client saw."""
+
+    host: str
+    is_idempotent: bool
+    at: float
+    path: str
+    size: int
+    status: str = ""
+    ended: float = 0.0
+
+
+@dataclass
+class Soak:
+    """One run: a fleet, its clients, and what they saw."""
+
+    seed: int
+    fleet: UsersFleet
+    sent_by_id: dict[str, Sent] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+    is_over: bool = False
+    disturbed_until: float = 0.0
+    stopped_at: dict[str, float] = field(default_factory=dict)
+
+    # --- Clients ---
+
+    def client(self, number: int) -> None:
+        """Send requests one after the other, on connections that are kept while they last."""
+        rng = random.Random(f"{self.seed}/{number}")
+        sock = stream = None
+        host = ""
+        for count in range(1_000_000):
+            if self.is_over:
+                return
+            attempt = f"{self.seed}-{number}-{count}"
+            try:
+                if sock is None:
+                    host = rng.choice(self.fleet.hosts)
+                    sock = connect(self.fleet.address(host, CALL), 5.0)
+                    stream = sock.makefile("rb")
+                keeps = self._request(rng, host, sock, stream, attempt)
+            except OSError:
+                keeps = False
+            if not keeps or rng.random() < 0.05:
+                if sock is not None:
+                    sock.close()
+                sock = None
+            time.sleep(rng.uniform(0.0, 0.05))
+
+    def _request(self, rng, host: str, sock, stream, attempt: str) -> bool:
+        service, is_safe = rng.choice(self.fleet.services), rng.random() < 0.5
+        path = f"/{service}/{'read' if is_safe else 'write'}/{rng.randrange(100)}"
+        body = b"" if is_safe else bytes(rng.randrange(1, 2000))
+        fields = {"Host": "shop.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "2500"}
+        method = "GET" if is_safe else "POST"
+        sent = Sent(host, is_safe, time.monotonic(), path, len(body))
+        self.sent_by_id[attempt] = sent
+        sock.sendall(request_bytes(method, path, fields, body))
+        message = read_message(stream)
+        sent.ended = time.monotonic()
+        if message is None:
+            return False
+        first, headers, content = message
+        sent.status = first.split()[1]
+        if sent.status == "200":
+            expected = f"{method} {path} {len(body)}".encode()
+            if content != expected or headers.get("x-response-signature") != f"sig.{attempt}":
+                self.broken.append(f"mixed: {attempt} got {content!r}, {headers}")
+        return headers.get("connection") != "close"
+
+    # --- Faults ---
+
+    def faults(self, seconds: float) -> None:
+        """Inject faults from outside, in series that overlap."""
+        rng = random.Random(self.seed)
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.disturbed_until = time.monotonic() + CALM_S
+            rng.choice(
+                (self._restart, self._kill, self._pause, self._spoil, self._cut, self._store_away,
+                 self._configure, self._leave)  # fmt: skip
+            )(rng)
+            time.sleep(rng.uniform(0.05, 0.8))
+        self._heal()
+
+    def _restart(self, rng: random.Random) -> None:
+        host = rng.choice(self.fleet.hosts)
+        self.stopped_at[host] = time.monotonic()
+        self.fleet.signal(host, signal.SIGTERM)
+
+    def _kill(self, rng: random.Random) -> None:
+        self.fleet.signal(rng.choice(self.fleet.hosts), signal.SIGKILL)
+
+    def _pause(self, rng: random.Random) -> None:
+        host = rng.choice(self.fleet.hosts)
+        self.fleet.signal(host, signal.SIGSTOP)
+        wake = threading.Timer(rng.uniform(0.2, 2.0), self.fleet.signal, (host, signal.SIGCONT))
+        wake.start()
+
+    def _spoil(self, rng: random.Random) -> None:
+        server = self.fleet.server_by_host[rng.choice(self.fleet.hosts)]
+        server.fault, server.slowness = rng.choice(SERVER_FAULTS), rng.choice((100, 100, 700))
+
+    def _cut(self, rng: random.Random) -> None:
+        link = rng.choice(list(self.fleet.link_by_host.values()))
+        link.mode = rng.choice(LINK_FAULTS)
+        if rng.random() < 0.5:
+            link.reset()
+
+    def _store_away(self, rng: random.Random) -> None:
+        self.fleet.store.mode = rng.choice(("", "busy", "silent", "reset"))
+        if rng.random() < 0.3:
+            self.fleet.store.forget_history()
+
+    def _configure(self, rng: random.Random) -> None:
+        self.fleet.version += rng.randrange(1, 4)
+        timeout = rng.choice(("900ms", "1500ms"))
+        services = self.fleet.services
+        value = configuration(self.fleet.version, services=services, timeout=timeout)
+        self.fleet.store.put("op/config", value)
+
+    def _leave(self, rng: random.Random) -> None:
+        server = self.fleet.server_by_host[rng.choice(self.fleet.hosts)]
+        server.register(rng.choice(("ready", "ready", "draining")))
+
+    def revive(self) -> None:
+        """Start daemons that have ended, as the platform does."""
+        while not self.is_over:
+            for host, process in list(self.fleet.process_by_host.items()):
+                code = process.poll()
+                if code is not None and not self.is_over:
+                    if code not in (0, -signal.SIGKILL):
+                        self.broken.append(f"ended: daemon on {host} with code {code}")
+                    self.fleet.start(host)
+            time.sleep(0.1)
+
+    def _heal(self) -> None:
+        self.fleet.store.mode = ""
+        for host in self.fleet.hosts:
+            self.fleet.link_by_host[host].mode = ""
+            server = self.fleet.server_by_host[host]
+            server.fault, server.slowness = "", 100
+            server.register()
+            self.fleet.signal(host, signal.SIGCONT)
+
+    # --- Promises ---
+
+    def recover(self) -> None:
+        """Check that everything serves again soon after the last fault."""
+        try:
+            for host in self.fleet.hosts:
+                await_condition(lambda host=host: self._serves(host), RECOVERY_S)
+        except AssertionError:
+            self.broken.append(f"recover: {host} does not serve {RECOVERY_S:g} s after the faults")
+
+    def _serves(self, host: str) -> bool:
+        try:
+            for service in self.fleet.services:
+                attempt = f"{self.seed}-end-{time.monotonic_ns()}"
+                path = f"/{service}/read/1"
+                self.sent_by_id[attempt] = Sent(host, True, time.monotonic(), path, 0)
+                if self.fleet.request(host, path, attempt)[0] != 200:
+                    return False
+        except OSError:
+            return False
+        return True
+
+    def drain(self) -> None:
+        """Check, without any other fault, that a leaving server gets nothing new in time."""
+        host = self.fleet.hosts[0]
+        server = self.fleet.server_by_host[host]
+        time.sleep(CALM_S)
+        server.register("draining")
+        bound = time.monotonic() + DRAIN_S
+        time.sleep(DRAIN_S + 1.0)
+        late = [at for at in server.arrived_at if at > bound]
+        if late:
+            self.broken.append(f"drain: {len(late)} requests reached {host} after {DRAIN_S:g} s")
+
+    def judge(self) -> None:
+        """Check the promises that hold whatever happens."""
+        for server in self.fleet.server_by_host.values():
+            self.broken += [
+                f"unasked: {a} without deadline or caller" for a in server.misdeliveries
+            ]
+        runs: dict[str, int] = {}
+        for server in self.fleet.server_by_host.values():
+            for attempt, count in server.runs.items():
+                runs[attempt] = runs.get(attempt, 0) + count
+        for attempt, count in runs.items():
+            sent = self.sent_by_id.get(attempt)
+            if sent is None:
+                self.broken.append(f"unasked: nobody sent {attempt}")
+            elif not sent.is_idempotent and count > 1:
+                self.broken.append(f"twice: {attempt} ran {count} times")
+            elif not sent.is_idempotent and sent.status in PROMISES:
+                self.broken.append(f"refused: {attempt} was answered {sent.status} and ran")
+
+
+def run(seed: int, seconds: float = 8.0, subnet: int = 200) -> list[str]:
+    """Run one seed; return the promises that were broken."""
+    fleet = UsersFleet(VMS, subnet, ("alpha", "beta"), with_links=True)
+    soak = Soak(seed, fleet)
+    try:
+        fleet.start_all()
+        tasks = [threading.Thread(target=soak.client, args=(n,)) for n in range(CLIENTS)]
+        tasks.append(threading.Thread(target=soak.revive))
+        for task in tasks:
+            task.start()
+        soak.faults(seconds)
+        soak.recover()
+        soak.drain()
+        soak.is_over = True
+        for task in tasks:
+            task.join()
+        time.sleep(0.5)
+        soak.judge()
+        if soak.broken:
+            _keep_logs(fleet, seed)
+        served = sum(1 for s in soak.sent_by_id.values() if s.status == "200")
+        print(json.dumps({"seed": seed, "requests": len(soak.sent_by_id), "served": served,
+                          "broken": soak.broken[:5]}), flush=True)  # fmt: skip
+        return soak.broken
+    finally:
+        soak.is_over = True
+        fleet.close()
+
+
+def _keep_logs(fleet: UsersFleet, seed: int) -> None:
+    with open(f"soak-{seed}.log", "w") as kept:
+        for host, path in fleet.log_by_host.items():
+            kept.writelines(f"{host} {line}\n" for line in path.read_text().splitlines())
+
+
+def _seeds(text: str) -> Iterator[int]:
+    first, _, last = text.partition("-")
+    yield from range(int(first), int(last or first) + 1)
+
+
+def main() -> int:
+    """Run the seeds that are named on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", default="1-50", help="one seed or a range, such as 1-50")
+    parser.add_argument("--seconds", type=float, default=8.0, help="time with faults of each seed")
+    parser.add_argument("--subnet", type=int, default=200, help="third number of the addresses")
+    arguments = parser.parse_args()
+    failed = [s for s in _seeds(arguments.seeds) if run(s, arguments.seconds, arguments.subnet)]
+    print(f"failed seeds: {failed}" if failed else "no promise was broken")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/users/test_users_walks.py
@@ -0,0 +1,85 @@
+"""The walks of docs/OPERATIONS.md: from the id of a failed request to its cause."""
+
+import signal
+import threading
+import unittest
+
+from pollenroad.causes import cause_of, lines_of
+from tests.users.fleet import UsersFleet, await_condition
+
+READ, WRITE = "/alpha/read/17", "/alpha/write/17"
+
+
+class WalkTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = UsersFleet(2, 103)
+        self.addCleanup(self.fleet.close)
+        self.fleet.start_all()
+
+    def _fault(self, fault: str) -> None:
+        for server in self.fleet.server_by_host.values():
+            server.fault = fault
+
+    def _lines(self, attempt: str):
+        texts = [t for p in self.fleet.log_by_host.values() for t in p.read_text().splitlines()]
+        return lines_of(attempt, texts)
+
+    def _cause(self, attempt: str, last: str = "call_failed") -> str:
+        await_condition(lambda: any(line.event == last for line in self._lines(attempt)))
+        return cause_of(self._lines(attempt))
+
+    def test_an_answer_that_the_server_lost(self):
+        self._fault("reset")
+        self.assertEqual(
+            self.fleet.request(self.fleet.hosts[0], WRITE, "lost-1", "POST", b"x")[0], 502
+        )
+        cause = self._cause("lost-1")
+        self.assertIn("Verdict unknown: the exchange with the server failed", cause)
+        self.assertIn("closed without an answer", cause)
+        self.assertIn("handed over by vm-", cause)
+
+    def test_a_request_that_no_endpoint_took(self):
+        for server in self.fleet.server_by_host.values():
+            server.register("draining")
+        await_condition(lambda: self._refused("leaving-1") == 503)
+        cause = self._cause("leaving-1")
+        self.assertIn("Verdict not-run: no endpoint took it in time", cause)
+
+    def _refused(self, attempt: str) -> int:
+        return self.fleet.request(self.fleet.hosts[0], READ, attempt)[0]
+
+    def test_an_attempt_at_a_daemon_that_was_killed(self):
+        self._fault("silent")
+        entry, other = self.fleet.hosts
+        self.fleet.server_by_host[entry].register("draining")
+        await_condition(lambda: any("draining" in t for t in self._texts(entry)))
+        statuses = []
+        call = threading.Thread(
+            target=lambda: statuses.append(
+                self.fleet.request(entry, WRITE, "killed-1", "POST", b"x")[0]
+            )
+        )
+        call.start()
+        await_condition(
+            lambda: any(line.event == "attempt_started" for line in self._lines("killed-1"))
+        )
+        self.fleet.signal(other, signal.SIGKILL)
+        call.join()
+        self.assertEqual(statuses, [502])
+        self.assertIn("the link to the guard broke", self._cause("killed-1"))
+
+    def _texts(self, host: str) -> list[str]:
+        return self.fleet.log_by_host[host].read_text().splitlines()
+
+
+class CauseTest(unittest.TestCase):
+    def test_a_served_request_is_told_as_served(self):
+        text = 'x {"time": "1", "vm": "v", "event": "call_answered", "request_id": "q", ' \
+            '"verdict": "ran", "reason": "", "endpoint": "i-1", "ms": 5}'  # fmt: skip
+        self.assertEqual(cause_of(lines_of("q", [text])), "It was served by i-1 in 5 ms.")
+
+    def test_lines_that_are_cut_off_or_of_others_are_passed_over(self):
+        self.assertEqual(lines_of("q", ['{"event": "call_ans', "plain text"]), [])
+
+    def test_a_request_without_an_end_is_said_to_have_none(self):
+        self.assertIn("no end", cause_of([]))
