--- a/tests/users/fleet.py
+++ b/tests/users/fleet.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -75,6 +76,7 @@
         self._ports = free_ports(7)
         self._with_links = with_links
         self.link_by_host: dict[str, FaultyLink] = {}
+        self.starts_by_host: Counter[str] = Counter()
         self._directory = tempfile.TemporaryDirectory()
         self.store = StandInStore(self._host(0))
         self.hosts = [self._host(number) for number in range(1, count + 1)]
@@ -132,6 +134,7 @@
 
     def start(self, host: str) -> None:
         """Start the daemon of a VM."""
+        self.starts_by_host[host] += 1
         settings = self.path(host, "json")
         settings.write_text(json.dumps(self.settings(host)))
         environment = os.environ | {"POLLENROAD_SETTINGS": str(settings)}
