--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	.venv/bin/ruff check --fix src tests platform
 
 schema: setup
-	.venv/bin/python -m pollenroad.schema docs/schema
+	.venv/bin/python -m pollenroad.declarations.schema docs/schema
 
 examples: setup
 	rm -rf examples/merrimack/rendered examples/tengerbulag/rendered
--- a/src/pollenroad/bench/abuse.py
+++ b/src/pollenroad/bench/abuse.py
@@ -11,8 +11,8 @@
 import gevent
 
 from pollenroad.addresses import host_of, split_address
-from pollenroad.frames import MAX_FRAME_BYTES, encode_frame
 from pollenroad.messages import PROTOCOL_VERSION, Attempt, Hello, Request
+from pollenroad.shell.frames import MAX_FRAME_BYTES, encode_frame
 
 CONNECT_TIMEOUT_S = 2.0
 REPLY_WAIT_S = 0.3
--- a/src/pollenroad/bench/capacity_parts.py
+++ b/src/pollenroad/bench/capacity_parts.py
@@ -10,7 +10,6 @@
 from pollenroad.bench.fleet import Fleet, FleetPlan, running_fleet
 from pollenroad.bench.load import CallMix, Generator, LoadPlan
 from pollenroad.bench.processes import cpu_seconds, rss_mb
-from pollenroad.frames import encode_frame
 from pollenroad.messages import LimitGrant, LimitRequest
 from pollenroad.models import (
     ColdStart,
@@ -20,6 +19,7 @@
     ServiceDocument,
     WorkspaceDocument,
 )
+from pollenroad.shell.frames import encode_frame
 
 RATES = (40.0, 80.0, 160.0)
 """Calls a second over both daemons."""
--- a/src/pollenroad/bench/limits.py
+++ b/src/pollenroad/bench/limits.py
@@ -12,7 +12,7 @@
 from pollenroad.bench.fleet import Fleet, FleetPlan, http, running_fleet
 from pollenroad.bench.limits_compare import compare, most_in_a_second
 from pollenroad.bench.load import CallMix, CallRecord, Generator, LoadPlan, percentile
-from pollenroad.limit_shares import MAX_SHARES, window_bound
+from pollenroad.limits.limit_shares import MAX_SHARES, window_bound
 from pollenroad.models import (
     ColdStart,
     CustomerLimit,
--- a/src/pollenroad/bench/limits_compare.py
+++ b/src/pollenroad/bench/limits_compare.py
@@ -1,8 +1,8 @@
 """Ways to hold a customer's limit over many entries, side by side with a clock of their own.
 
-Drives the cores of `pollenroad.limits` and `pollenroad.limit_owner` through their events, next to
-two small alternatives: a static share of the limit for each entry, and gossip of usage between
-entries. Messages take `DELAY_S`; a cut drops those between its two sides.
+Drives the cores of `pollenroad.limits` through their events, next to two small alternatives: a
+static share of the limit for each entry, and gossip of usage between entries. Messages take
+`DELAY_S`; a cut drops those between its two sides.
 """
 
 import heapq
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 
 from pollenroad.boundary import DocumentInForce, PeerReceived, Tick
-from pollenroad.limit_owner import make_limit_owner
-from pollenroad.limit_shares import TokenBucket
-from pollenroad.limits import make_limits
+from pollenroad.limits.limit_owner import make_limit_owner
+from pollenroad.limits.limit_shares import TokenBucket
+from pollenroad.limits.limits import make_limits
 from pollenroad.messages import LimitGrant
 from pollenroad.models import CustomerLimit, WorkspaceDocument
 
--- a/src/pollenroad/bench/peer_link.py
+++ b/src/pollenroad/bench/peer_link.py
@@ -43,8 +43,8 @@
 def _serve_frames(address: str) -> None:
     from gevent.server import StreamServer
 
-    from pollenroad.frames import encode_frame, read_message
-    from pollenroad.sockets import set_no_delay
+    from pollenroad.shell.frames import encode_frame, read_message
+    from pollenroad.shell.sockets import set_no_delay
 
     def serve(sock, _remote) -> None:
         set_no_delay(sock)
@@ -61,7 +61,7 @@
     grpc.experimental.gevent.init_gevent()
     from concurrent.futures import ThreadPoolExecutor
 
-    from pollenroad.frames import decode_message, encode_body
+    from pollenroad.shell.frames import decode_message, encode_body
 
     def serve(body: bytes, _context) -> bytes:
         return encode_body(_answer(decode_message(body)))
@@ -81,7 +81,7 @@
     import bottle
     from gevent.pywsgi import WSGIServer
 
-    from pollenroad.http import CallHandler
+    from pollenroad.shell.http import CallHandler
 
     app = bottle.Bottle()
 
@@ -99,8 +99,8 @@
 def _frames_client(address: str) -> Callable[[], object]:
     from gevent.event import AsyncResult
 
-    from pollenroad.frames import encode_frame, read_message
-    from pollenroad.sockets import set_no_delay
+    from pollenroad.shell.frames import encode_frame, read_message
+    from pollenroad.shell.sockets import set_no_delay
 
     sock = gevent.socket.create_connection(split_address(address))
     set_no_delay(sock)
@@ -126,7 +126,7 @@
     import grpc.experimental.gevent
 
     grpc.experimental.gevent.init_gevent()
-    from pollenroad.frames import decode_message, encode_body
+    from pollenroad.shell.frames import decode_message, encode_body
 
     call = grpc.insecure_channel(address).unary_unary(GRPC_METHOD)
     return lambda: decode_message(call(encode_body(_ATTEMPT)))
--- a/src/pollenroad/bench/relay_worker.py
+++ b/src/pollenroad/bench/relay_worker.py
@@ -30,9 +30,9 @@
     WatchPlatform,
 )
 from pollenroad.models import VmState
-from pollenroad.peers import Identity, Peers
-from pollenroad.platform import Platform
-from pollenroad.relay import RelaySettings, make_relay
+from pollenroad.relay.relay import RelaySettings, make_relay
+from pollenroad.shell.peers import Identity, Peers
+from pollenroad.shell.platform import Platform
 
 
 class WorkerPlan(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/pollenroad/bench/tail.py
+++ b/src/pollenroad/bench/tail.py
@@ -25,7 +25,7 @@
 from pollenroad.bench.load import CallMix, CallRecord, Generator, LoadPlan, percentile
 from pollenroad.messages import LoadReport
 from pollenroad.models import ColdStart, Endpoint, RequestClass, RetryRules, ServiceDocument
-from pollenroad.peers import Identity, Peers
+from pollenroad.shell.peers import Identity, Peers
 
 BOOKING = "tengerbulag/booking"
 SLOTS = 10
--- a/src/pollenroad/commands/audit.py
+++ b/src/pollenroad/commands/audit.py
@@ -10,7 +10,7 @@
 from gevent.pool import Pool
 from urllib3.exceptions import HTTPError
 
-from pollenroad.audit import AuditEntry, merge_trails, parse_trail
+from pollenroad.relay.audit import AuditEntry, merge_trails, parse_trail
 
 OPEN_REQUESTS = 64
 """Daemons asked at one time."""
--- a/src/pollenroad/commands/check.py
+++ b/src/pollenroad/commands/check.py
@@ -7,8 +7,8 @@
 import msgspec
 from returns.result import Failure, Success
 
-from pollenroad.advice import advise
-from pollenroad.declarations import (
+from pollenroad.declarations.advice import advise
+from pollenroad.declarations.declarations import (
     PARAMETERS_FILE,
     Workspace,
     check_declaration,
@@ -16,11 +16,11 @@
     load_workspace,
     read_declaration,
 )
-from pollenroad.headroom import capacity_warnings
+from pollenroad.declarations.headroom import capacity_warnings
+from pollenroad.declarations.problems import ROOT, Problem, Severity, errors_of, with_source
+from pollenroad.declarations.rendering import make_rendering, stale_files
+from pollenroad.declarations.wording import count
 from pollenroad.models import ServiceDocument, WorkspaceDocument
-from pollenroad.problems import ROOT, Problem, Severity, errors_of, with_source
-from pollenroad.rendering import make_rendering, stale_files
-from pollenroad.wording import count
 
 
 def _check_file(path: Path) -> list[Problem]:
--- a/src/pollenroad/commands/daemon.py
+++ b/src/pollenroad/commands/daemon.py
@@ -8,9 +8,9 @@
 import msgspec
 from returns.result import Failure, Success
 
-from pollenroad.daemon import make_daemon
 from pollenroad.logs import configure_logs
 from pollenroad.settings import load_settings
+from pollenroad.shell.daemon import make_daemon
 
 GC_THRESHOLDS = (20_000, 20, 50)
 """Allocations between collections, by generation; frequent full collections delay calls."""
--- a/src/pollenroad/commands/demo.py
+++ b/src/pollenroad/commands/demo.py
@@ -3,7 +3,7 @@
 import time
 
 from pollenroad.bench.fleet import Fleet, running_fleet
-from pollenroad.demo import load_documents, make_plan, run_demo, table
+from pollenroad.operators.demo import load_documents, make_plan, run_demo, table
 
 EXAMPLE = "examples/merrimack"
 
--- a/src/pollenroad/commands/diff.py
+++ b/src/pollenroad/commands/diff.py
@@ -7,17 +7,17 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from pollenroad.declarations import (
+from pollenroad.declarations.declarations import (
     PARAMETERS_FILE,
     load_workspace,
     read_declaration,
     read_documents,
 )
-from pollenroad.explain_parameters import document_sentences, parameter_sentences
-from pollenroad.headroom import capacity_warnings
+from pollenroad.declarations.explain_parameters import document_sentences, parameter_sentences
+from pollenroad.declarations.headroom import capacity_warnings
+from pollenroad.declarations.problems import Problem, errors_of, with_source
+from pollenroad.declarations.templates import Parameters
 from pollenroad.models import Document
-from pollenroad.problems import Problem, errors_of, with_source
-from pollenroad.templates import Parameters
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/commands/explain.py
+++ b/src/pollenroad/commands/explain.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator
 from urllib.parse import quote
 
-from pollenroad.operators import read_all
+from pollenroad.operators.operators import read_all
 
 _WHY = {
     "first": "first attempt",
--- a/src/pollenroad/commands/logs.py
+++ b/src/pollenroad/commands/logs.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from pollenroad.causes import cause_of, lines_of
+from pollenroad.operators.causes import cause_of, lines_of
 
 
 def _read(files: tuple[str, ...]) -> Iterator[str]:
--- a/src/pollenroad/commands/render.py
+++ b/src/pollenroad/commands/render.py
@@ -5,8 +5,13 @@
 
 from returns.result import Failure, Success
 
-from pollenroad.declarations import RENDERED_DIRECTORY, load_workspace
-from pollenroad.rendering import Rendering, make_rendering, stale_files, write_rendering
+from pollenroad.declarations.declarations import RENDERED_DIRECTORY, load_workspace
+from pollenroad.declarations.rendering import (
+    Rendering,
+    make_rendering,
+    stale_files,
+    write_rendering,
+)
 
 
 def _report_stale(rendering: Rendering, directory: Path) -> int:
--- a/src/pollenroad/commands/replay.py
+++ b/src/pollenroad/commands/replay.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from pollenroad.replaying import replay
+from pollenroad.declarations.wording import count
+from pollenroad.operators.replaying import replay
 from pollenroad.traces import TraceError, read_trace
-from pollenroad.wording import count
 
 
 def _find_traces(path: Path) -> Iterator[Path]:
--- a/src/pollenroad/commands/report.py
+++ b/src/pollenroad/commands/report.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from pollenroad.report_figures import figures_of
+from pollenroad.operators.report_figures import figures_of
 
 _STYLE = """
 body { font: 15px/1.5 system-ui, sans-serif; max-width: 60rem; margin: 2rem auto; color: #222; }
--- a/src/pollenroad/commands/status.py
+++ b/src/pollenroad/commands/status.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import asdict, dataclass
 
-from pollenroad.operators import Reading, read_all
+from pollenroad.operators.operators import Reading, read_all
 
 WATCH_INTERVAL_S = 1.0
 """Time between two tables of `--watch`, in seconds."""
--- a/src/pollenroad/cores.py
+++ b/src/pollenroad/cores.py
@@ -31,11 +31,11 @@
     VmsListed,
     WatchReturned,
 )
-from pollenroad.entry import make_entry
-from pollenroad.explain import sentences
-from pollenroad.guard import make_guard
-from pollenroad.headroom import capacity_warnings
-from pollenroad.limit_owner import make_limit_owner
+from pollenroad.declarations.explain import sentences
+from pollenroad.declarations.headroom import capacity_warnings
+from pollenroad.entry.entry import make_entry
+from pollenroad.guard.guard import make_guard
+from pollenroad.limits.limit_owner import make_limit_owner
 from pollenroad.messages import (
     Attempt,
     AttemptAnswer,
@@ -47,7 +47,7 @@
     LoadReport,
 )
 from pollenroad.models import Document
-from pollenroad.relay import RelaySettings, make_relay
+from pollenroad.relay.relay import RelaySettings, make_relay
 
 
 class Cores:
--- a/src/pollenroad/advice.py
+++ b/src/pollenroad/declarations/advice.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
+from pollenroad.declarations.problems import Problem, Severity
 from pollenroad.models import Document, RequestClass, ServiceDocument
-from pollenroad.problems import Problem, Severity
 
 SHORT_DEADLINE_MS = 20.0
 """Deadline in milliseconds below which the value was probably meant in seconds."""
--- a/src/pollenroad/checks.py
+++ b/src/pollenroad/declarations/checks.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from pollenroad.declarations.problems import ROOT, Problem, index_path
 from pollenroad.models import (
     Document,
     Endpoint,
@@ -18,7 +19,6 @@
     ServiceRules,
     WorkspaceDocument,
 )
-from pollenroad.problems import ROOT, Problem, index_path
 
 VALUE_LIMIT_BYTES = 1_000_000
 """Largest value that the platform's configuration service holds."""
--- a/src/pollenroad/checks_parameters.py
+++ b/src/pollenroad/declarations/checks_parameters.py
@@ -9,10 +9,21 @@
 
 from msgspec import UNSET
 
-from pollenroad.checks import VALUE_LIMIT_BYTES, check_document, check_rules, find_repeated
+from pollenroad.declarations.checks import (
+    VALUE_LIMIT_BYTES,
+    check_document,
+    check_rules,
+    find_repeated,
+)
+from pollenroad.declarations.problems import ROOT, Problem
+from pollenroad.declarations.templates import (
+    Parameters,
+    ServiceParameters,
+    Template,
+    encode_document,
+    render,
+)
 from pollenroad.models import Document, ServiceDocument
-from pollenroad.problems import ROOT, Problem
-from pollenroad.templates import Parameters, ServiceParameters, Template, encode_document, render
 
 _CLASS_PATH = re.compile(r"^\$\.classes\[(?P<index>[0-9]+)\]\.(?P<field>\w+)$")
 _FIELD_PATH = re.compile(r"^\$\.(?P<path>\w+(?:\.\w+)?)")
--- a/src/pollenroad/checks_settings.py
+++ b/src/pollenroad/declarations/checks_settings.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 
 from pollenroad.addresses import host_of
-from pollenroad.checks import check_address
-from pollenroad.problems import Problem
+from pollenroad.declarations.checks import check_address
+from pollenroad.declarations.problems import Problem
 from pollenroad.settings import Settings
 
 _OWN_ADDRESSES = ("server", "call_address", "peer_address", "operator_address")
--- a/src/pollenroad/declarations.py
+++ b/src/pollenroad/declarations/declarations.py
@@ -15,14 +15,20 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from pollenroad.checks import check_document
-from pollenroad.checks_parameters import check_parameters, check_template
-from pollenroad.checks_settings import check_settings
+from pollenroad.declarations.checks import check_document
+from pollenroad.declarations.checks_parameters import check_parameters, check_template
+from pollenroad.declarations.checks_settings import check_settings
+from pollenroad.declarations.problems import ROOT, Problem, errors_of, key_path, with_source
+from pollenroad.declarations.shapes import TAG_KEY, convert_strictly, parse_json
+from pollenroad.declarations.templates import (
+    Parameters,
+    Template,
+    encode_document,
+    render,
+    with_kept_versions,
+)
 from pollenroad.models import Document, ServiceDocument, WorkspaceDocument
-from pollenroad.problems import ROOT, Problem, errors_of, key_path, with_source
 from pollenroad.settings import Settings
-from pollenroad.shapes import TAG_KEY, convert_strictly, parse_json
-from pollenroad.templates import Parameters, Template, encode_document, render, with_kept_versions
 
 PARAMETERS_FILE = "parameters.json"
 TEMPLATES_DIRECTORY = "templates"
--- a/src/pollenroad/explain.py
+++ b/src/pollenroad/declarations/explain.py
@@ -6,16 +6,9 @@
 
 import msgspec
 
-from pollenroad.explain_customers import customer_sentences
-from pollenroad.explain_servers import endpoint_sentences, out_of_service_sentences
-from pollenroad.models import (
-    Document,
-    OutOfService,
-    RequestClass,
-    ServiceDocument,
-    WorkspaceDocument,
-)
-from pollenroad.wording import (
+from pollenroad.declarations.explain_customers import customer_sentences
+from pollenroad.declarations.explain_servers import endpoint_sentences, out_of_service_sentences
+from pollenroad.declarations.wording import (
     connections,
     count,
     expected_requests,
@@ -35,6 +28,13 @@
     size,
     times,
 )
+from pollenroad.models import (
+    Document,
+    OutOfService,
+    RequestClass,
+    ServiceDocument,
+    WorkspaceDocument,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/explain_customers.py
+++ b/src/pollenroad/declarations/explain_customers.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
+from pollenroad.declarations.wording import instead_of, join, requests
 from pollenroad.models import CustomerLimit, WorkspaceDocument
-from pollenroad.wording import instead_of, join, requests
 
 
 def _limit(customer: CustomerLimit) -> str:
--- a/src/pollenroad/explain_parameters.py
+++ b/src/pollenroad/declarations/explain_parameters.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterator, Mapping
 
-from pollenroad.explain import sentences
+from pollenroad.declarations.explain import sentences
+from pollenroad.declarations.templates import Parameters
 from pollenroad.models import Document
-from pollenroad.templates import Parameters
 
 
 def document_sentences(
--- a/src/pollenroad/explain_servers.py
+++ b/src/pollenroad/declarations/explain_servers.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from pollenroad.declarations.wording import join, servers
 from pollenroad.models import Endpoint, ServiceDocument
-from pollenroad.wording import join, servers
 
 
 def endpoints_in_service(document: ServiceDocument) -> list[Endpoint]:
--- a/src/pollenroad/headroom.py
+++ b/src/pollenroad/declarations/headroom.py
@@ -7,10 +7,10 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from pollenroad.explain_servers import endpoints_in_service
+from pollenroad.declarations.explain_servers import endpoints_in_service
+from pollenroad.declarations.problems import Problem, Severity
+from pollenroad.declarations.wording import count, requests, servers
 from pollenroad.models import Document, ServiceDocument
-from pollenroad.problems import Problem, Severity
-from pollenroad.wording import count, requests, servers
 
 REMAINING_SHARE = 0.5
 """Share of the capacity before a change that must remain where no peak is stated."""
--- a/src/pollenroad/rendering.py
+++ b/src/pollenroad/declarations/rendering.py
@@ -11,12 +11,12 @@
 
 from returns.result import Failure, Result, Success
 
-from pollenroad.advice import advise
-from pollenroad.declarations import Workspace, document_path, is_written
-from pollenroad.headroom import capacity_warnings
+from pollenroad.declarations.advice import advise
+from pollenroad.declarations.declarations import Workspace, document_path, is_written
+from pollenroad.declarations.headroom import capacity_warnings
+from pollenroad.declarations.problems import Problem, errors_of, with_source
+from pollenroad.declarations.templates import encode_document
 from pollenroad.models import Document
-from pollenroad.problems import Problem, errors_of, with_source
-from pollenroad.templates import encode_document
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/schema.py
+++ b/src/pollenroad/declarations/schema.py
@@ -1,7 +1,7 @@
 """The published JSON Schema of every declaration, made from the declared types.
 
-`python -m pollenroad.schema DIRECTORY` writes one file a kind. Descriptions of fields come from the
-doc strings below them in the source.
+`python -m pollenroad.declarations.schema DIRECTORY` writes one file a kind. Descriptions of fields
+come from the doc strings below them in the source.
 """
 
 import ast
@@ -13,9 +13,9 @@
 
 import msgspec
 
+from pollenroad.declarations.templates import PARTIAL_BASE_BY_NAME, Parameters, Template
 from pollenroad.models import ServiceDocument, WorkspaceDocument
 from pollenroad.settings import Settings
-from pollenroad.templates import PARTIAL_BASE_BY_NAME, Parameters, Template
 
 DIALECT = "https://json-schema.org/draft/2020-12/schema"
 """Version of JSON Schema in which the files are written."""
--- a/src/pollenroad/calls.py
+++ b/src/pollenroad/entry/calls.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 
 from pollenroad.boundary import CallArrived, Record
+from pollenroad.entry.retries import ALLOWANCE_BELOW
 from pollenroad.messages import Attempt
 from pollenroad.models import Endpoint, RequestClass
-from pollenroad.retries import ALLOWANCE_BELOW
 from pollenroad.verdicts import Verdict
 
 
--- a/src/pollenroad/entry.py
+++ b/src/pollenroad/entry/entry.py
@@ -21,7 +21,7 @@
     SendPeer,
     Tick,
 )
-from pollenroad.calls import (
+from pollenroad.entry.calls import (
     OpenAttempt,
     OpenCall,
     answered_record,
@@ -29,12 +29,12 @@
     make_attempt,
     sent_record,
 )
-from pollenroad.limits import Outcome, make_limits
+from pollenroad.entry.routing import RouterPlace
+from pollenroad.entry.services import Services
+from pollenroad.entry.subsets import place_of
+from pollenroad.limits.limits import Outcome, make_limits
 from pollenroad.messages import AttemptAnswer, CancelAttempt, LimitGrant, LoadReport
 from pollenroad.models import Document, ServiceDocument
-from pollenroad.routing import RouterPlace
-from pollenroad.services import Services
-from pollenroad.subsets import place_of
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
 
--- a/src/pollenroad/hedges.py
+++ b/src/pollenroad/entry/hedges.py
@@ -4,9 +4,9 @@
 spent on mild doubt, a nearly empty one only on endpoints that are almost surely stalled.
 """
 
+from pollenroad.entry.retries import Budget, make_hedge_budget
+from pollenroad.entry.routing import Router
 from pollenroad.models import RetryRules
-from pollenroad.retries import Budget, make_hedge_budget
-from pollenroad.routing import Router
 
 MIN_SPARE_SHARE = 0.25
 """Share of the known capacity that must be free for a hedge."""
--- a/src/pollenroad/loads.py
+++ b/src/pollenroad/entry/loads.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from pollenroad.latencies import Latencies
+from pollenroad.entry.latencies import Latencies
 from pollenroad.messages import LoadReport
 from pollenroad.models import Endpoint
 
--- a/src/pollenroad/routing.py
+++ b/src/pollenroad/entry/routing.py
@@ -5,11 +5,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from pollenroad.latencies import Latencies
-from pollenroad.loads import SLOW_FACTOR, EndpointLoad, make_endpoint_load
+from pollenroad.entry.latencies import Latencies
+from pollenroad.entry.loads import SLOW_FACTOR, EndpointLoad, make_endpoint_load
+from pollenroad.entry.subsets import subset_of
 from pollenroad.messages import LoadReport
 from pollenroad.models import Endpoint, Routing, ServiceDocument
-from pollenroad.subsets import subset_of
 from pollenroad.verdicts import Verdict
 
 FIRST_GUESS_S = 0.02
--- a/src/pollenroad/services.py
+++ b/src/pollenroad/entry/services.py
@@ -2,18 +2,18 @@
 
 import random
 
-from pollenroad.calls import OpenCall
-from pollenroad.hedges import Hedges
-from pollenroad.messages import LoadReport
-from pollenroad.models import ServiceDocument
-from pollenroad.retries import (
+from pollenroad.entry.calls import OpenCall
+from pollenroad.entry.hedges import Hedges
+from pollenroad.entry.retries import (
     FULL_REASON,
     SERVER_REASONS,
     TEACHING_REASONS,
     Budget,
     make_retry_budget,
 )
-from pollenroad.routing import Router, RouterPlace, make_router
+from pollenroad.entry.routing import Router, RouterPlace, make_router
+from pollenroad.messages import LoadReport
+from pollenroad.models import ServiceDocument
 from pollenroad.verdicts import Verdict, may_retry
 
 
--- a/src/pollenroad/atserver.py
+++ b/src/pollenroad/guard/atserver.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from pollenroad.admission import SlotShares, Waiting
+from pollenroad.guard.admission import SlotShares, Waiting
 
 
 @dataclass(slots=True)
--- a/src/pollenroad/capacity.py
+++ b/src/pollenroad/guard/capacity.py
@@ -1,10 +1,10 @@
 """What the server beside a guard bears now, from its declaration and from what the guard sees."""
 
-from pollenroad.coldstart import SERVER_UNREACHABLE, ColdSigns, ColdStart, Hold
-from pollenroad.concurrency import AdaptiveBound
+from pollenroad.guard.coldstart import SERVER_UNREACHABLE, ColdSigns, ColdStart, Hold
+from pollenroad.guard.concurrency import AdaptiveBound
+from pollenroad.guard.servicetimes import ServiceTimes
 from pollenroad.messages import Response
 from pollenroad.models import ServiceDocument
-from pollenroad.servicetimes import ServiceTimes
 
 INCARNATION_HEADER = "x-server-incarnation"
 """Header in which a server may state an id that differs after each of its restarts."""
--- a/src/pollenroad/guard.py
+++ b/src/pollenroad/guard/guard.py
@@ -7,8 +7,6 @@
 
 from msgspec.structs import replace
 
-from pollenroad.admission import AdmissionQueue, SlotShares, Waiting, make_waiting
-from pollenroad.atserver import AtServer
 from pollenroad.boundary import (
     Action,
     CancelAtServer,
@@ -26,16 +24,18 @@
     StopRequested,
     Tick,
 )
-from pollenroad.capacity import Capacity, incarnation_of
-from pollenroad.closing import LEAVING, NOT_HERE, Closing
-from pollenroad.coldstart import SERVER_UNREACHABLE
-from pollenroad.guardrecords import GuardRecords
-from pollenroad.guardstate import GuardView
-from pollenroad.handover import HandOverAges, SeenAttempts
-from pollenroad.measuring import MeasuringShare
+from pollenroad.guard.admission import AdmissionQueue, SlotShares, Waiting, make_waiting
+from pollenroad.guard.atserver import AtServer
+from pollenroad.guard.capacity import Capacity, incarnation_of
+from pollenroad.guard.closing import LEAVING, NOT_HERE, Closing
+from pollenroad.guard.coldstart import SERVER_UNREACHABLE
+from pollenroad.guard.guardrecords import GuardRecords
+from pollenroad.guard.guardstate import GuardView
+from pollenroad.guard.handover import HandOverAges, SeenAttempts
+from pollenroad.guard.measuring import MeasuringShare
+from pollenroad.guard.reporting import Reporting
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, Leaving, LoadReport, Response
 from pollenroad.models import RequestClass, ServiceDocument
-from pollenroad.reporting import Reporting
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
 
--- a/src/pollenroad/guardrecords.py
+++ b/src/pollenroad/guard/guardrecords.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from pollenroad.boundary import Record
-from pollenroad.guardstate import GuardView
+from pollenroad.guard.guardstate import GuardView
 from pollenroad.messages import Attempt
 
 SUMMARY_S = 1.0
--- a/src/pollenroad/guardstate.py
+++ b/src/pollenroad/guard/guardstate.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from pollenroad import closing
-from pollenroad.capacity import Capacity
+from pollenroad.guard import closing
+from pollenroad.guard.capacity import Capacity
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/reporting.py
+++ b/src/pollenroad/guard/reporting.py
@@ -3,7 +3,7 @@
 from msgspec.structs import replace
 
 from pollenroad.boundary import ProbeServer, SendPeer
-from pollenroad.measuring import MeasuringShare, Subscribers
+from pollenroad.guard.measuring import MeasuringShare, Subscribers
 from pollenroad.messages import AttemptAnswer, LoadReport
 
 PROBE_IDLE_S = 2.0
--- a/src/pollenroad/limit_documents.py
+++ b/src/pollenroad/limits/limit_documents.py
@@ -1,6 +1,6 @@
 """The documents in force as far as limits go: who owns which part of a customer's limit."""
 
-from pollenroad.limit_shares import ShareOwners, choose_owners, owner_candidates
+from pollenroad.limits.limit_shares import ShareOwners, choose_owners, owner_candidates
 from pollenroad.models import CustomerLimit, Document, ServiceDocument, WorkspaceDocument
 
 
--- a/src/pollenroad/limit_lease.py
+++ b/src/pollenroad/limits/limit_lease.py
@@ -4,7 +4,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from pollenroad.limit_shares import LEASE_S, PERMIT_LEASE_S, ShareOwners
+from pollenroad.limits.limit_shares import LEASE_S, PERMIT_LEASE_S, ShareOwners
 from pollenroad.messages import LimitGrant
 from pollenroad.models import CustomerLimit
 
--- a/src/pollenroad/limit_owner.py
+++ b/src/pollenroad/limits/limit_owner.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 
 from pollenroad.boundary import Action, DocumentInForce, Event, PeerReceived, SendPeer, Tick
-from pollenroad.limit_documents import LimitDocuments
-from pollenroad.limit_shares import (
+from pollenroad.limits.limit_documents import LimitDocuments
+from pollenroad.limits.limit_shares import (
     LEASE_S,
     LONGEST_LEASE_S,
     PERMIT_LEASE_S,
--- a/src/pollenroad/limit_refusals.py
+++ b/src/pollenroad/limits/limit_refusals.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from pollenroad.boundary import SendPeer
-from pollenroad.limit_lease import CustomerLease
+from pollenroad.limits.limit_lease import CustomerLease
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/limits.py
+++ b/src/pollenroad/limits/limits.py
@@ -1,16 +1,16 @@
 """The entry's side of limits per customer: asks owners for leases and spends them on calls.
 
 For each customer in use, an entry holds tokens (for the rate) and permits (for the concurrency)
-that the owners of the customer's limit have leased to it; see `pollenroad.limit_owner`. With
+that the owners of the customer's limit have leased to it; see `pollenroad.limits.limit_owner`. With
 steady traffic it asks ahead, so that a call finds its token in hand. A call that finds none waits
 a short time for a grant and is refused otherwise. No I/O: see `pollenroad.boundary`.
 """
 
 from pollenroad.boundary import SendPeer
-from pollenroad.limit_documents import LimitDocuments
-from pollenroad.limit_lease import CROWD, CustomerLease, Demand, ShareLease
-from pollenroad.limit_refusals import Outcome, refuse_call, refuse_customer
-from pollenroad.limit_shares import (
+from pollenroad.limits.limit_documents import LimitDocuments
+from pollenroad.limits.limit_lease import CROWD, CustomerLease, Demand, ShareLease
+from pollenroad.limits.limit_refusals import Outcome, refuse_call, refuse_customer
+from pollenroad.limits.limit_shares import (
     PERMIT_LEASE_S,
     limit_of,
 )
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from pollenroad.proxy.models import Configuration, DomainOut, RegisteredEndpoint
+from pollenroad.published import Configuration, DomainOut, RegisteredEndpoint
 
 PROTOCOL_VERSION = 1
 
@@ -361,7 +361,7 @@
     | Opinion
     | Leaving
 )
-"""What `pollenroad.relay` takes from peers."""
+"""What `pollenroad.relay.relay` takes from peers."""
 
 PeerMessage = (
     DirectoryNews
--- a/src/pollenroad/models.py
+++ b/src/pollenroad/models.py
@@ -23,7 +23,7 @@
 Milliseconds = Annotated[float, Meta(gt=0, le=600_000)]
 
 Routing = Literal["least-time", "random", "round-robin", "least-in-flight", "two-choices"]
-"""Names of the policies in `pollenroad.routing`."""
+"""Names of the policies in `pollenroad.entry.routing`."""
 
 
 class Declared(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/pollenroad/demo.py
+++ b/src/pollenroad/operators/demo.py
@@ -17,9 +17,9 @@
 from pollenroad.bench.fleet import Fleet, FleetError, FleetPlan, Node, running_fleet
 from pollenroad.bench.load import CallMix, CallRecord, Generator, LoadPlan, percentile
 from pollenroad.bench.outcomes import run_twice, starts
-from pollenroad.declarations import read_documents
+from pollenroad.declarations.declarations import read_documents
+from pollenroad.declarations.explain import sentences
 from pollenroad.exceptions import ConfigurationError
-from pollenroad.explain import sentences
 from pollenroad.models import Document, OutOfService, ServiceDocument, WorkspaceDocument
 from pollenroad.verdicts import Verdict
 
--- a/src/pollenroad/replaying.py
+++ b/src/pollenroad/operators/replaying.py
@@ -20,7 +20,7 @@
 )
 from pollenroad.cores import make_cores
 from pollenroad.messages import Attempt, AttemptAnswer
-from pollenroad.relay import RelaySettings
+from pollenroad.relay.relay import RelaySettings
 from pollenroad.traces import (
     Answered,
     Attempts,
--- a/src/pollenroad/proxy/boundary.py
+++ b/src/pollenroad/proxy/boundary.py
@@ -5,7 +5,7 @@
 
 from pollenroad import boundary as calls
 from pollenroad.messages import LoadReport, Request
-from pollenroad.proxy.models import Configuration, DomainOut, RegisteredEndpoint
+from pollenroad.published import Configuration, DomainOut, RegisteredEndpoint
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/proxy/callers.py
+++ b/src/pollenroad/proxy/callers.py
@@ -24,8 +24,8 @@
 from pollenroad.proxy.boundary import Event, RequestArrived
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.proxy.http1 import READ_BYTES
-from pollenroad.proxy.models import CallerLimits
-from pollenroad.sockets import set_no_delay
+from pollenroad.published import CallerLimits
+from pollenroad.shell.sockets import set_no_delay
 from pollenroad.verdicts import Verdict
 
 MAX_PIPELINED = 64
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -17,10 +17,8 @@
     SendPeer,
     StopRequested,
 )
-from pollenroad.driver import Driver
 from pollenroad.exceptions import ConfigurationError
 from pollenroad.logs import log
-from pollenroad.peers import Identity, Peers
 from pollenroad.proxy.boundary import (
     Action,
     CheckServer,
@@ -39,6 +37,8 @@
 from pollenroad.proxy.notices import Notices
 from pollenroad.proxy.settings import ProxySettings, load_proxy_settings, seconds
 from pollenroad.proxy.upstream import Upstream
+from pollenroad.shell.driver import Driver
+from pollenroad.shell.peers import Identity, Peers
 from pollenroad.verdicts import Verdict
 
 LEAVING_NOTICE_S = 2.2
--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -16,8 +16,8 @@
     DirectoryRead,
     EndpointRemoved,
 )
-from pollenroad.proxy.models import Configuration, DomainOut, RegisteredEndpoint
 from pollenroad.proxy.routes import RouteTable
+from pollenroad.published import Configuration, DomainOut, RegisteredEndpoint
 
 RETURN_S = 2.2
 """Time after the platform's return in which living servers register again, in seconds: the two
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -2,7 +2,7 @@
 
 No I/O. A request gets exactly one answer, at its route's timeout at the latest. It is sent again
 only if it did not run, or if it may run more than once; every send that reaches a second server
-draws on a budget (`pollenroad.retries`), so that retries stay within the bound of the whole fleet.
+draws on a budget (`pollenroad.entry.retries`), so that retries stay within the fleet's bound.
 """
 
 import random
@@ -20,15 +20,15 @@
     SendPeer,
     Tick,
 )
-from pollenroad.latencies import Latencies
+from pollenroad.entry.latencies import Latencies
+from pollenroad.entry.retries import Budget
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport, Response
 from pollenroad.proxy.boundary import Event, LoadHeard, RequestArrived
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.fleet import EndpointView, Work, make_fleet
 from pollenroad.proxy.guard import FULL, SLOW
-from pollenroad.proxy.models import Route
 from pollenroad.proxy.routes import Splitter
-from pollenroad.retries import Budget
+from pollenroad.published import Route
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict, may_retry
 
--- a/src/pollenroad/proxy/fleet.py
+++ b/src/pollenroad/proxy/fleet.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from pollenroad.messages import LoadReport
-from pollenroad.proxy.models import RegisteredEndpoint
+from pollenroad.published import RegisteredEndpoint
 
 REMOTE_COST_SHARE = 0.2
 """Expected saving that a request must have in another failure domain, as a share of its latency
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -9,8 +9,6 @@
 from msgspec.structs import replace
 
 from pollenroad.addresses import host_of
-from pollenroad.admission import AdmissionQueue, SlotShares, Waiting
-from pollenroad.atserver import AtServer
 from pollenroad.boundary import (
     Action,
     CancelAtServer,
@@ -24,8 +22,10 @@
     StopRequested,
     Tick,
 )
-from pollenroad.closing import LEAVING, NOT_HERE, OUT_OF_SERVICE
-from pollenroad.handover import HandOverAges, SeenAttempts
+from pollenroad.guard.admission import AdmissionQueue, SlotShares, Waiting
+from pollenroad.guard.atserver import AtServer
+from pollenroad.guard.closing import LEAVING, NOT_HERE, OUT_OF_SERVICE
+from pollenroad.guard.handover import HandOverAges, SeenAttempts
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport
 from pollenroad.models import RequestClass
 from pollenroad.proxy.boundary import (
@@ -37,9 +37,9 @@
     TellLoad,
 )
 from pollenroad.proxy.directory import Directory
-from pollenroad.proxy.models import RegisteredEndpoint, ServiceRules
 from pollenroad.proxy.pacing import ColdPace
 from pollenroad.proxy.telling import Telling
+from pollenroad.published import RegisteredEndpoint, ServiceRules
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
 
--- a/src/pollenroad/proxy/http1.py
+++ b/src/pollenroad/proxy/http1.py
@@ -16,7 +16,7 @@
 from pollenroad.addresses import split_address
 from pollenroad.exceptions import ExchangeError
 from pollenroad.logs import log
-from pollenroad.sockets import set_liveness_options, set_no_delay
+from pollenroad.shell.sockets import set_liveness_options, set_no_delay
 
 READ_BYTES = 65_536
 """Bytes asked of a socket at once."""
--- a/src/pollenroad/proxy/relay.py
+++ b/src/pollenroad/proxy/relay.py
@@ -23,7 +23,7 @@
     WatchDirectory,
 )
 from pollenroad.proxy.directory import Directory
-from pollenroad.proxy.models import Configuration, DomainOut, RegisteredEndpoint
+from pollenroad.published import Configuration, DomainOut, RegisteredEndpoint
 
 WATCHERS = 2
 """Daemons that watch the platform in each failure domain; one may be cut off unnoticed."""
--- a/src/pollenroad/proxy/routes.py
+++ b/src/pollenroad/proxy/routes.py
@@ -1,6 +1,6 @@
 """Which route a request takes, and which of its services."""
 
-from pollenroad.proxy.models import Route, Share
+from pollenroad.published import Route, Share
 
 
 class RouteTable:
--- a/src/pollenroad/configuration.py
+++ b/src/pollenroad/relay/configuration.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from pollenroad.checks import check_document
+from pollenroad.declarations.checks import check_document
 from pollenroad.exceptions import ConfigurationError
 from pollenroad.messages import DocumentDigest
 from pollenroad.models import Document
--- a/src/pollenroad/heartbeats.py
+++ b/src/pollenroad/relay/heartbeats.py
@@ -10,12 +10,12 @@
 import msgspec
 
 from pollenroad.boundary import Action, SendPeer
-from pollenroad.configuration import Configuration
-from pollenroad.directory import Directory
-from pollenroad.links import Links
-from pollenroad.liveness import Liveness
 from pollenroad.messages import Heartbeat
-from pollenroad.monitoring import HEARTBEAT_S
+from pollenroad.relay.configuration import Configuration
+from pollenroad.relay.directory import Directory
+from pollenroad.relay.links import Links
+from pollenroad.relay.liveness import Liveness
+from pollenroad.relay.monitoring import HEARTBEAT_S
 
 ESTRANGED_S = 2.0
 """Time between two heartbeats to a VM that seems dead and would be a neighbour, in seconds."""
--- a/src/pollenroad/liveness.py
+++ b/src/pollenroad/relay/liveness.py
@@ -6,11 +6,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-from pollenroad.audit import AuditTrail
 from pollenroad.boundary import Action, MembershipChanged, Record, SendPeer, VmsListed
-from pollenroad.directory import Directory
-from pollenroad.links import Links
-from pollenroad.membership import ALIVE, DEAD, GONE, LEAVING, make_membership
 from pollenroad.messages import (
     ITEMS_PER_MESSAGE,
     Heartbeat,
@@ -20,8 +16,12 @@
     VmNews,
     VmStatus,
 )
-from pollenroad.monitoring import make_monitor
-from pollenroad.spreading import batched
+from pollenroad.relay.audit import AuditTrail
+from pollenroad.relay.directory import Directory
+from pollenroad.relay.links import Links
+from pollenroad.relay.membership import ALIVE, DEAD, GONE, LEAVING, make_membership
+from pollenroad.relay.monitoring import make_monitor
+from pollenroad.relay.spreading import batched
 
 REFUTATION_SPAN = 1_000
 """Two incarnations that are closer than this belong to one process: it refuted its death."""
--- a/src/pollenroad/relay.py
+++ b/src/pollenroad/relay/relay.py
@@ -8,7 +8,6 @@
 import random
 from collections.abc import Iterable, Iterator
 
-from pollenroad.audit import AuditTrail
 from pollenroad.boundary import (
     Action,
     AttemptAnswer,
@@ -26,12 +25,6 @@
     VmsListed,
     WatchReturned,
 )
-from pollenroad.configuration import make_configuration
-from pollenroad.directory import Vm, make_directory
-from pollenroad.heartbeats import Heartbeats, RelaySettings
-from pollenroad.joining import make_joining
-from pollenroad.links import Links
-from pollenroad.liveness import Liveness
 from pollenroad.messages import (
     Announce,
     AskDigests,
@@ -44,8 +37,15 @@
     Suspect,
     VmNews,
 )
-from pollenroad.spreading import PLATFORM, Explain, make_spreading
-from pollenroad.watching import WATCHERS_PER_DOMAIN, PlatformReads
+from pollenroad.relay.audit import AuditTrail
+from pollenroad.relay.configuration import make_configuration
+from pollenroad.relay.directory import Vm, make_directory
+from pollenroad.relay.heartbeats import Heartbeats, RelaySettings
+from pollenroad.relay.joining import make_joining
+from pollenroad.relay.links import Links
+from pollenroad.relay.liveness import Liveness
+from pollenroad.relay.spreading import PLATFORM, Explain, make_spreading
+from pollenroad.relay.watching import WATCHERS_PER_DOMAIN, PlatformReads
 
 TICK_S = 0.1
 """Time between two ticks, in seconds."""
--- a/src/pollenroad/spreading.py
+++ b/src/pollenroad/relay/spreading.py
@@ -8,10 +8,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
 
-from pollenroad.audit import AuditTrail
 from pollenroad.boundary import Action, DocumentInForce, Record, SendPeer
-from pollenroad.configuration import Accepted, Configuration, Known, Outcome, Refused, digest_of
-from pollenroad.fetching import make_fetches
 from pollenroad.messages import (
     ITEMS_PER_MESSAGE,
     Announce,
@@ -20,6 +17,16 @@
     FetchDocuments,
 )
 from pollenroad.models import Document
+from pollenroad.relay.audit import AuditTrail
+from pollenroad.relay.configuration import (
+    Accepted,
+    Configuration,
+    Known,
+    Outcome,
+    Refused,
+    digest_of,
+)
+from pollenroad.relay.fetching import make_fetches
 
 PLATFORM = "platform"
 """Source of documents that were read from the platform."""
--- a/src/pollenroad/watching.py
+++ b/src/pollenroad/relay/watching.py
@@ -20,7 +20,7 @@
     WatchPlatform,
     WatchReturned,
 )
-from pollenroad.configuration import Configuration
+from pollenroad.relay.configuration import Configuration
 
 WATCHERS_PER_DOMAIN = 3
 """Daemons that watch the platform for each failure domain."""
--- a/src/pollenroad/daemon.py
+++ b/src/pollenroad/shell/daemon.py
@@ -30,22 +30,22 @@
     Tick,
     WatchPlatform,
 )
-from pollenroad.control_cost import make_cost_meter
 from pollenroad.cores import make_cores
-from pollenroad.driver import Driver
-from pollenroad.http import Calls, make_call_app, make_call_server
 from pollenroad.logs import LOGGER, log
-from pollenroad.metrics import make_metrics
 from pollenroad.models import Document
-from pollenroad.operator_http import make_operator_server
-from pollenroad.peers import Identity, Peers
-from pollenroad.platform import Platform
 from pollenroad.recent import RecentRecords
-from pollenroad.recording import make_recorder
-from pollenroad.relay import RelaySettings
-from pollenroad.sentinel import Sentinel
+from pollenroad.relay.relay import RelaySettings
 from pollenroad.settings import Settings
-from pollenroad.upstream import Upstream
+from pollenroad.shell.control_cost import make_cost_meter
+from pollenroad.shell.driver import Driver
+from pollenroad.shell.http import Calls, make_call_app, make_call_server
+from pollenroad.shell.metrics import make_metrics
+from pollenroad.shell.operator_http import make_operator_server
+from pollenroad.shell.peers import Identity, Peers
+from pollenroad.shell.platform import Platform
+from pollenroad.shell.recording import make_recorder
+from pollenroad.shell.sentinel import Sentinel
+from pollenroad.shell.upstream import Upstream
 
 POLL_WHILE_DRAINING_S = 0.02
 LEAVING_NOTICE_S = 1.0
--- a/src/pollenroad/http.py
+++ b/src/pollenroad/shell/http.py
@@ -12,9 +12,9 @@
 from pollenroad import headers
 from pollenroad.addresses import split_address
 from pollenroad.boundary import AnswerCall, CallAbandoned, CallArrived, Event
-from pollenroad.header_block import MAX_HEADER_BYTES, read_header_block
 from pollenroad.messages import Request, Response
-from pollenroad.sockets import set_no_delay
+from pollenroad.shell.header_block import MAX_HEADER_BYTES, read_header_block
+from pollenroad.shell.sockets import set_no_delay
 from pollenroad.verdicts import Verdict
 
 MAX_BODY_BYTES = 8_388_608
--- a/src/pollenroad/metrics.py
+++ b/src/pollenroad/shell/metrics.py
@@ -15,8 +15,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
-from pollenroad.control_cost import CostMeter
-from pollenroad.latencies import Latencies
+from pollenroad.entry.latencies import Latencies
+from pollenroad.shell.control_cost import CostMeter
 
 LATENCY_BUCKETS_S = (
     0.001,
--- a/src/pollenroad/operator_http.py
+++ b/src/pollenroad/shell/operator_http.py
@@ -4,7 +4,7 @@
 from gevent.pywsgi import WSGIServer
 
 from pollenroad.addresses import split_address
-from pollenroad.metrics import CONTENT_TYPE
+from pollenroad.shell.metrics import CONTENT_TYPE
 
 
 def _endpoint_name(daemon) -> str:
--- a/src/pollenroad/peers.py
+++ b/src/pollenroad/shell/peers.py
@@ -18,9 +18,7 @@
 
 from pollenroad.addresses import host_of, split_address
 from pollenroad.boundary import AttemptUnsent, Event, PeerLost, PeerReceived
-from pollenroad.control_cost import CostMeter, make_cost_meter
 from pollenroad.exceptions import PeerError
-from pollenroad.frames import HEAD_BYTES, decode_message, encode_frame, read_body, read_message
 from pollenroad.logs import log
 from pollenroad.messages import (
     PROTOCOL_VERSION,
@@ -33,7 +31,15 @@
     PeerMessage,
     RelayMessage,
 )
-from pollenroad.sockets import set_liveness_options
+from pollenroad.shell.control_cost import CostMeter, make_cost_meter
+from pollenroad.shell.frames import (
+    HEAD_BYTES,
+    decode_message,
+    encode_frame,
+    read_body,
+    read_message,
+)
+from pollenroad.shell.sockets import set_liveness_options
 
 DIAL_TIMEOUT_S = 0.5
 HELLO_TIMEOUT_S = 2.0
--- a/src/pollenroad/recording.py
+++ b/src/pollenroad/shell/recording.py
@@ -15,9 +15,9 @@
     RunAtServer,
     ServerAnswered,
 )
-from pollenroad.capacity import INCARNATION_HEADER
+from pollenroad.guard.capacity import INCARNATION_HEADER
 from pollenroad.messages import Attempt, AttemptAnswer, Request, Response
-from pollenroad.relay import RelaySettings
+from pollenroad.relay.relay import RelaySettings
 from pollenroad.traces import TRACE_VERSION, Answered, Header, InForce, Runs, encode_event
 
 MAX_RECORDED_BYTES = 16_777_216
--- a/src/pollenroad/upstream.py
+++ b/src/pollenroad/shell/upstream.py
@@ -21,8 +21,8 @@
 from pollenroad import headers
 from pollenroad.addresses import split_address
 from pollenroad.boundary import Event, ServerAnswered, ServerFailed, ServerProbed, ServerShed
-from pollenroad.capacity import incarnation_of
-from pollenroad.coldstart import SERVER_RESET, SERVER_UNREACHABLE
+from pollenroad.guard.capacity import incarnation_of
+from pollenroad.guard.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.logs import log
 from pollenroad.messages import Attempt, Response
 
--- a/src/pollenroad/standins/server.py
+++ b/src/pollenroad/standins/server.py
@@ -17,7 +17,7 @@
 
 from pollenroad import headers
 from pollenroad.addresses import split_address
-from pollenroad.http import CallHandler
+from pollenroad.shell.http import CallHandler
 
 DEADLINE_MARGIN_S = 0.001
 
--- a/tests/fuzz/mutants.py
+++ b/tests/fuzz/mutants.py
@@ -9,17 +9,17 @@
 from unittest.mock import patch
 
 from pollenroad.boundary import CancelAtServer, StopRequested
-from pollenroad.capacity import Capacity
-from pollenroad.closing import LEAVING as LEAVING_VM
-from pollenroad.closing import OUT_OF_SERVICE, Closing
-from pollenroad.coldstart import ColdStart
-from pollenroad.configuration import Configuration
-from pollenroad.entry import Entry
-from pollenroad.guard import Guard
-from pollenroad.handover import SeenAttempts
-from pollenroad.measuring import RateLimit
-from pollenroad.services import Service
-from pollenroad.spreading import Spreading
+from pollenroad.entry.entry import Entry
+from pollenroad.entry.services import Service
+from pollenroad.guard.capacity import Capacity
+from pollenroad.guard.closing import LEAVING as LEAVING_VM
+from pollenroad.guard.closing import OUT_OF_SERVICE, Closing
+from pollenroad.guard.coldstart import ColdStart
+from pollenroad.guard.guard import Guard
+from pollenroad.guard.handover import SeenAttempts
+from pollenroad.guard.measuring import RateLimit
+from pollenroad.relay.configuration import Configuration
+from pollenroad.relay.spreading import Spreading
 from pollenroad.verdicts import Verdict
 
 from .oracle import COLD, CONFIG, LEAVING, MEASURING, ONCE, OUT, OWN, REFUSED, STOP
--- a/tests/fuzz/nodes.py
+++ b/tests/fuzz/nodes.py
@@ -13,8 +13,8 @@
     ServerProbed,
     StopRequested,
 )
-from pollenroad.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.cores import Cores
+from pollenroad.guard.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.messages import CancelAttempt
 from pollenroad.models import ServiceDocument
 
--- a/tests/fuzz/servers.py
+++ b/tests/fuzz/servers.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from pollenroad.boundary import ServerAnswered, ServerFailed, ServerLost, ServerProbed, ServerShed
-from pollenroad.coldstart import SERVER_RESET, SERVER_UNREACHABLE
+from pollenroad.guard.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.messages import Attempt, Response
 
 from .oracle import whole_answer
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -33,7 +33,7 @@
 from pollenroad.cores import make_cores
 from pollenroad.messages import Attempt, LoadReport, Request
 from pollenroad.models import ServiceDocument
-from pollenroad.relay import RelaySettings
+from pollenroad.relay.relay import RelaySettings
 
 from .documents import (
     ADDRESS_BY_VM,
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -12,7 +12,7 @@
     ServerAnswered,
     Tick,
 )
-from pollenroad.guard import make_guard
+from pollenroad.guard.guard import make_guard
 from pollenroad.messages import Attempt, AttemptAnswer, LoadReport, Request, Response
 from pollenroad.models import ColdStart, Endpoint, OutOfService, RequestClass, ServiceDocument
 
--- a/tests/proxy/samples.py
+++ b/tests/proxy/samples.py
@@ -8,7 +8,7 @@
 from pollenroad.proxy.directory import make_directory
 from pollenroad.proxy.entry import BudgetRules, Entry
 from pollenroad.proxy.guard import make_guard
-from pollenroad.proxy.models import (
+from pollenroad.published import (
     Configuration,
     RegisteredEndpoint,
     Route,
--- a/tests/proxy/test_proxy_directory.py
+++ b/tests/proxy/test_proxy_directory.py
@@ -5,8 +5,8 @@
 
 from pollenroad.proxy.boundary import DirectoryChanged, DirectoryLost, EndpointRemoved
 from pollenroad.proxy.directory import MASS_RETURN_S, RETURN_S
-from pollenroad.proxy.models import DomainOut, Share
 from pollenroad.proxy.routes import RouteTable, Splitter
+from pollenroad.published import DomainOut, Share
 from tests.proxy.samples import (
     SERVICE,
     configuration,
--- a/tests/proxy/test_proxy_guard.py
+++ b/tests/proxy/test_proxy_guard.py
@@ -21,7 +21,7 @@
     TellLoad,
 )
 from pollenroad.proxy.guard import FULL, SILENT_CHECKS, SLOW
-from pollenroad.proxy.models import DomainOut
+from pollenroad.published import DomainOut
 from tests.proxy.samples import attempt, endpoint, guard_with, of_kind, refusals, run_until
 
 PEER = "127.0.0.9:7000"
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -23,9 +23,9 @@
     WatchPlatform,
     WatchReturned,
 )
-from pollenroad.frames import decode_message, encode_frame
 from pollenroad.models import Endpoint, RequestClass, ServiceDocument, VmState
-from pollenroad.relay import RelaySettings, make_relay
+from pollenroad.relay.relay import RelaySettings, make_relay
+from pollenroad.shell.frames import decode_message, encode_frame
 
 DELAY_S = 0.002
 STEP_S = 0.05
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -9,8 +9,8 @@
 
 import bottle
 
-from pollenroad.audit import AUDIT_TEXT_CHARS, AuditTrail, merge_trails, parse_trail
 from pollenroad.commands import audit as audit_command
+from pollenroad.relay.audit import AUDIT_TEXT_CHARS, AuditTrail, merge_trails, parse_trail
 
 
 class AuditTrailTest(unittest.TestCase):
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from pollenroad.commands import check
-from pollenroad.schema import STRUCT_BY_FILE, encode_schema
+from pollenroad.declarations.schema import STRUCT_BY_FILE, encode_schema
 from tests.scratch import (
     DELETED,
     EXAMPLES,
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -6,7 +6,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from pollenroad.checks import check_document
+from pollenroad.declarations.checks import check_document
 from pollenroad.models import ColdStart, MeasuringBudget, OutOfService, RequestClass
 from tests.documents import make_endpoint, make_service, make_workspace
 
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -3,7 +3,7 @@
 import unittest
 
 from pollenroad.boundary import DocumentInForce, ServerFailed, ServerShed
-from pollenroad.coldstart import SERVER_RESET, SERVER_UNREACHABLE
+from pollenroad.guard.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.models import ColdStart
 from tests.guards import GuardDriver, Simulation, attempt, out_of_service, started
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
-from pollenroad.configuration import (
+from pollenroad.messages import DocumentDigest
+from pollenroad.models import CustomerLimit, WorkspaceDocument
+from pollenroad.relay.configuration import (
     DECODED_DOCUMENTS,
     Accepted,
     Known,
@@ -13,8 +15,6 @@
     digest_of,
     make_configuration,
 )
-from pollenroad.messages import DocumentDigest
-from pollenroad.models import CustomerLimit, WorkspaceDocument
 
 LIMIT = b'{"name":"club-a","rate_per_s":10.0,"concurrency":5}'
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -12,7 +12,7 @@
     Record,
     Tick,
 )
-from pollenroad.entry import make_entry
+from pollenroad.entry.entry import make_entry
 from pollenroad.messages import CancelAttempt
 from pollenroad.verdicts import Verdict
 from tests.entry_samples import (
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -5,8 +5,8 @@
 import msgspec
 from msgspec.structs import fields, replace
 
-from pollenroad.explain import sentences
-from pollenroad.headroom import capacity_warnings
+from pollenroad.declarations.explain import sentences
+from pollenroad.declarations.headroom import capacity_warnings
 from pollenroad.models import OutOfService
 from tests.documents import make_endpoint, make_service, make_workspace
 from tests.mutations import mutations
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from pollenroad.exceptions import PeerError
-from pollenroad.frames import MAX_FRAME_BYTES, decode_message, encode_frame, read_message
 from pollenroad.messages import Attempt, Message, Request
+from pollenroad.shell.frames import MAX_FRAME_BYTES, decode_message, encode_frame, read_message
 
 ATTEMPT = Attempt("a-1", "q1", "races/registry", "club", "bind", False, 900.0, Request("GET", "/"))
 FRAME = encode_frame(ATTEMPT)
--- a/tests/test_header_block.py
+++ b/tests/test_header_block.py
@@ -3,7 +3,7 @@
 import io
 import unittest
 
-from pollenroad.header_block import MAX_HEADER_BYTES, MAX_HEADERS, read_header_block
+from pollenroad.shell.header_block import MAX_HEADER_BYTES, MAX_HEADERS, read_header_block
 
 REFUSED = (
     b"no colon here\r\n\r\n",
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -8,8 +8,8 @@
 from gevent.event import AsyncResult
 
 from pollenroad.boundary import AnswerCall, CallAbandoned, CallArrived
-from pollenroad.http import MAX_BODY_BYTES, Calls, make_call_app, make_call_server
 from pollenroad.messages import Response
+from pollenroad.shell.http import MAX_BODY_BYTES, Calls, make_call_app, make_call_server
 from pollenroad.verdicts import Verdict
 
 TIMEOUT_S = 5.0
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,9 +5,9 @@
 
 from pollenroad.bench import limits_compare as lc
 from pollenroad.boundary import AnswerCall, DocumentInForce, PeerReceived, SendPeer, Tick
-from pollenroad.entry import make_entry
-from pollenroad.limit_owner import make_limit_owner
-from pollenroad.limit_shares import (
+from pollenroad.entry.entry import make_entry
+from pollenroad.limits.limit_owner import make_limit_owner
+from pollenroad.limits.limit_shares import (
     PERMIT_LEASE_S,
     ShareOwners,
     choose_owners,
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from pollenroad.latencies import Latencies
-from pollenroad.loads import make_endpoint_load
+from pollenroad.entry.latencies import Latencies
+from pollenroad.entry.loads import make_endpoint_load
 from tests.entry_samples import make_endpoint, make_report
 
 TYPICAL_S = 0.02
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -12,9 +12,9 @@
 
 from pollenroad.boundary import CallArrived, DocumentInForce, PeerReceived, Tick
 from pollenroad.commands import explain, status
-from pollenroad.control_cost import kind_of_event, make_cost_meter
 from pollenroad.messages import AttemptAnswer, LimitRequest, LoadReport
-from pollenroad.metrics import MAX_REASONS, make_metrics
+from pollenroad.shell.control_cost import kind_of_event, make_cost_meter
+from pollenroad.shell.metrics import MAX_REASONS, make_metrics
 
 SENT = {"number": 1, "endpoint": "registry-2", "why": "first:local", "attempt_id": "a"}
 ENDED = {"endpoint": "registry-2", "ms": 12.5, "verdict": "not-run", "reason": "busy"}
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -8,7 +8,7 @@
 from gevent.event import AsyncResult
 
 from pollenroad.boundary import ServerProbed
-from pollenroad.upstream import PROBE_PATH, Upstream
+from pollenroad.shell.upstream import PROBE_PATH, Upstream
 
 
 class Handler(BaseHTTPRequestHandler):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from pollenroad.boundary import PeerReceived, SendPeer, StopRequested
-from pollenroad.directory import Vm, make_directory
-from pollenroad.joining import JOIN_WAIT_S
 from pollenroad.messages import Attempt, DocumentCopy, FetchDocuments, Leaving, Request
-from pollenroad.watching import WATCHERS_PER_DOMAIN
+from pollenroad.relay.directory import Vm, make_directory
+from pollenroad.relay.joining import JOIN_WAIT_S
+from pollenroad.relay.watching import WATCHERS_PER_DOMAIN
 from tests.relay_fleet import Fleet, service_bytes
 
 KEY = "merrimack/registry"
--- a/tests/test_render.py
+++ b/tests/test_render.py
@@ -9,11 +9,11 @@
 from msgspec.structs import fields, replace
 
 from pollenroad.commands import diff, render
-from pollenroad.declarations import decode_declaration, load_workspace
-from pollenroad.explain_parameters import document_sentences, parameter_sentences
+from pollenroad.declarations.declarations import decode_declaration, load_workspace
+from pollenroad.declarations.explain_parameters import document_sentences, parameter_sentences
+from pollenroad.declarations.templates import Overrides, Parameters, Template, apply_overrides
+from pollenroad.declarations.templates import render as render_documents
 from pollenroad.models import Endpoint, OutOfService, ServiceDocument
-from pollenroad.templates import Overrides, Parameters, Template, apply_overrides
-from pollenroad.templates import render as render_documents
 from tests.mutations import mutations
 from tests.scratch import (
     DELETED,
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -4,9 +4,9 @@
 import unittest
 
 from pollenroad.boundary import DocumentInForce, PeerReceived
-from pollenroad.entry import make_entry
+from pollenroad.entry.entry import make_entry
+from pollenroad.entry.retries import make_hedge_budget, make_retry_budget
 from pollenroad.models import RetryRules
-from pollenroad.retries import make_hedge_budget, make_retry_budget
 from pollenroad.verdicts import Verdict
 from tests.entry_samples import answers_in, attempts_in, make_answer, make_call, make_document
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,8 +4,8 @@
 import unittest
 from collections import Counter
 
+from pollenroad.entry.routing import POLICY_BY_NAME, RouterPlace, make_router
 from pollenroad.models import ColdStart, OutOfService
-from pollenroad.routing import POLICY_BY_NAME, RouterPlace, make_router
 from pollenroad.verdicts import Verdict
 from tests.entry_samples import make_document, make_report
 
--- a/tests/test_sentinel.py
+++ b/tests/test_sentinel.py
@@ -7,9 +7,9 @@
 from gevent.server import StreamServer
 
 from pollenroad.boundary import ServerLost
-from pollenroad.guard import make_guard
+from pollenroad.guard.guard import make_guard
 from pollenroad.models import ColdStart
-from pollenroad.sentinel import Sentinel
+from pollenroad.shell.sentinel import Sentinel
 from tests.guards import GuardDriver
 
 TIMEOUT_S = 5.0
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -3,7 +3,7 @@
 import unittest
 from collections import Counter
 
-from pollenroad.subsets import place_of, subset_of
+from pollenroad.entry.subsets import place_of, subset_of
 from tests.entry_samples import make_endpoint
 
 ENDPOINTS = [make_endpoint(number) for number in range(300)]
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -12,8 +12,8 @@
 from pollenroad.commands.replay import run
 from pollenroad.cores import make_cores
 from pollenroad.messages import Attempt, AttemptAnswer, Request, Response
-from pollenroad.recording import MAX_RECORDED_BYTES, make_recorder, without_content
-from pollenroad.relay import RelaySettings
+from pollenroad.relay.relay import RelaySettings
+from pollenroad.shell.recording import MAX_RECORDED_BYTES, make_recorder, without_content
 from pollenroad.traces import EventLine, decode_event, encode_event, read_trace
 from tests.fuzz.documents import ADDRESS_BY_VM, SERVICE, service_document
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,7 +8,7 @@
 
 from pollenroad.boundary import ServerAnswered, ServerFailed, ServerShed
 from pollenroad.messages import Attempt, Request
-from pollenroad.upstream import Upstream
+from pollenroad.shell.upstream import Upstream
 
 TIMEOUT_S = 5.0
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/tests/users/soak.py
+++ b/tests/users/soak.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import gzip
 import json
 import random
 import signal
@@ -13,6 +14,7 @@
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from tests.users.fleet import CALL, UsersFleet, await_condition, configuration
 from tests.users.wires import connect, read_message, request_bytes
@@ -23,6 +25,9 @@
 }
 """Seeds that once failed, each with a line on the cause."""
 
+KEPT_LOGS = Path("docs/incidents/logs")
+"""Where the logs of a failed seed are kept."""
+
 VMS = 6
 CLIENTS = 8
 DRAIN_S = 2.0
@@ -276,7 +281,8 @@
 
 
 def _keep_logs(fleet: UsersFleet, seed: int) -> None:
-    with open(f"soak-{seed}.log", "w") as kept:
+    KEPT_LOGS.mkdir(parents=True, exist_ok=True)
+    with gzip.open(KEPT_LOGS / f"soak-{seed}.log.gz", "wt") as kept:
         for host, path in fleet.log_by_host.items():
             kept.writelines(f"{host} {line}\n" for line in path.read_text().splitlines())
 
--- a/tests/users/test_users_walks.py
+++ b/tests/users/test_users_walks.py
@@ -4,7 +4,7 @@
 import threading
 import unittest
 
-from pollenroad.causes import cause_of, lines_of
+from pollenroad.operators.causes import cause_of, lines_of
 from tests.users.fleet import UsersFleet, await_condition
 
 READ, WRITE = "/alpha/read/17", "/alpha/write/17"
