Send nothing to a registration whose address a later start has taken

A guard took the highest revision for the newest start, an entry asked nobody. Ruled out: the guard's answer, which is true. Change: the start that a registration states orders registrations of one address and of one name; an older one is passed over or refused with a line. A server that starts again under its id is taken as cold. Tests: four, of which three failed before for want of the field.

--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -74,6 +74,9 @@
         519, "watcher_changed", logging.INFO, "A daemon watches the platform, or stops."
     ),
     CatalogueEntry(520, "directory_behind", logging.INFO, "Others know more; one is asked for it."),
+    CatalogueEntry(
+        521, "registration_refused", logging.WARNING, "A registration is of an earlier start."
+    ),
     CatalogueEntry(502, "platform_failed", logging.WARNING, "The platform could not be read."),
 )
 
--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -77,7 +77,7 @@
         return incarnation in self._doubtful_until
 
     def at_server(self, server: str) -> RegisteredEndpoint | None:
-        """Return the newest endpoint registered at a server's address, or None."""
+        """Return the latest start that is registered at a server's address, or None."""
         self._index()
         return self._newest_by_server.get(server)
 
@@ -198,11 +198,14 @@
         before = self._endpoint_by_incarnation.get(name)
         self._doubtful_until.pop(name, None)
         self._removed_at.pop(name, None)
-        if before is not None and endpoint.revision < before.revision:
+        if before is not None and _start(endpoint) < _start(before):
+            fields = (("endpoint", name), ("born_ms", endpoint.born_ms))
+            yield Record("registration_refused", (*fields, ("newest_ms", before.born_ms)))
             return
         self._endpoint_by_incarnation[name] = endpoint
         self._is_indexed = False
-        if before is None or before.is_leaving != endpoint.is_leaving:
+        is_new = before is None or before.born_ms != endpoint.born_ms
+        if is_new or before.is_leaving != endpoint.is_leaving:
             yield Record(
                 "endpoint_registered",
                 (
@@ -215,17 +218,19 @@
             )
 
     def _index(self) -> None:
-        """Note which endpoints serve a service, and which is the newest at an address."""
+        """Note which endpoint is at an address, and which endpoints serve a service.
+
+        The lease of a server that is gone outlives it, while another one has its address.
+        """
         if self._is_indexed:
             return
         self._is_indexed = True
         self._endpoints_by_service.clear()
         self._newest_by_server.clear()
-        for endpoint in self._endpoint_by_incarnation.values():
+        for endpoint in sorted(self._endpoint_by_incarnation.values(), key=_start):
+            self._newest_by_server[endpoint.server] = endpoint
+        for endpoint in self._newest_by_server.values():
             self._endpoints_by_service.setdefault(endpoint.service, []).append(endpoint)
-            newest = self._newest_by_server.setdefault(endpoint.server, endpoint)
-            if endpoint.revision > newest.revision:
-                self._newest_by_server[endpoint.server] = endpoint
 
     def _remove(self, names: list[str], now: float) -> Iterator[Record]:
         known = [name for name in names if name in self._endpoint_by_incarnation]
@@ -260,6 +265,11 @@
         )
 
 
+def _start(endpoint: RegisteredEndpoint) -> tuple[int, int]:
+    """Return by what registrations at one address, or of one name, are ordered."""
+    return endpoint.born_ms, endpoint.revision
+
+
 def make_directory() -> Directory:
     """Make a directory that knows nothing yet."""
     return Directory()
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -127,7 +127,7 @@
         self._silent_checks = 0
         self._sequence = 0
         self._state = ""
-        self._incarnation = ""
+        self._start_seen = ("", 0)
         self._timers.set(("beat", ""), now)
 
     # --- What the shell reads ---
@@ -376,9 +376,9 @@
 
     def _note_incarnation(self, now: float) -> Iterator[Action]:
         endpoint = self.endpoint()
-        if endpoint is None or endpoint.incarnation == self._incarnation:
+        if endpoint is None or (endpoint.incarnation, endpoint.born_ms) == self._start_seen:
             return
-        self._incarnation = endpoint.incarnation
+        self._start_seen = (endpoint.incarnation, endpoint.born_ms)
         self._silent_checks = 0
         self._checked_at = float("-inf")
         if endpoint.cold_s > 0 and self._pace.set_cold(endpoint.cold_s, now):
--- a/src/pollenroad/published.py
+++ b/src/pollenroad/published.py
@@ -84,7 +84,10 @@
     cold_s: float = 0.0
     """How much longer the server is cold, in seconds, as of its registration."""
     revision: int = 0
-    """Revision of the registration; the newest one at an address counts."""
+    """Revision of the registration."""
+    born_ms: int = 0
+    """Wall clock of this start, in milliseconds; 0 if not stated. A server may start again under
+    its incarnation's name, and the latest start at an address counts."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/proxy/test_proxy_directory.py
+++ b/tests/proxy/test_proxy_directory.py
@@ -112,6 +112,28 @@
         directory = directory_with(old, new)
         self.assertEqual(directory.at_server(old.server).incarnation, "i-2")
 
+    def test_an_endpoint_whose_address_a_later_one_has_taken_gets_nothing(self):
+        old = endpoint(1, born_ms=1_000)
+        directory = directory_with(old)
+        other = endpoint(2, server=old.server, service="other", born_ms=2_000, revision=11)
+        directory.handle(DirectoryChanged(11, (other,)), 1.0)
+        self.assertEqual(names(directory), [], "the server of the registration is gone")
+        directory.handle(DirectoryChanged(12, (EndpointRemoved("i-2"),)), 2.0)
+        self.assertEqual(names(directory), ["i-1"])
+
+    def test_a_late_write_of_an_earlier_start_does_not_take_the_address_back(self):
+        directory = directory_with(endpoint(1, born_ms=1_000), endpoint(2, born_ms=2_000))
+        late = endpoint(1, server=endpoint(2).server, born_ms=1_000, revision=30)
+        directory.handle(DirectoryChanged(30, (late,)), 1.0)
+        self.assertEqual(names(directory), ["i-2"])
+
+    def test_a_late_write_of_an_earlier_start_under_the_same_id_changes_nothing(self):
+        directory = directory_with(endpoint(1, born_ms=2_000, is_leaving=True))
+        late = endpoint(1, born_ms=1_000, revision=30)
+        records = directory.handle(DirectoryChanged(30, (late,)), 1.0)
+        self.assertEqual(names(directory), [])
+        self.assertIn("registration_refused", events_of(records))
+
     def test_loss_and_return_of_the_platform_are_told_once(self):
         directory = directory_with(endpoint(1))
         self.assertEqual(events_of(directory.handle(DirectoryLost("x"), 1.0)), ["directory_lost"])
--- a/tests/proxy/test_proxy_guard.py
+++ b/tests/proxy/test_proxy_guard.py
@@ -22,7 +22,15 @@
 )
 from pollenroad.proxy.guard import FULL, SILENT_CHECKS, SLOW
 from pollenroad.published import DomainOut
-from tests.proxy.samples import attempt, endpoint, guard_with, of_kind, refusals, run_until
+from tests.proxy.samples import (
+    attempt,
+    endpoint,
+    events_of,
+    guard_with,
+    of_kind,
+    refusals,
+    run_until,
+)
 
 PEER = "127.0.0.9:7000"
 
@@ -42,6 +50,13 @@
         hand(guard, number=number)
 
 
+class RestartTest(unittest.TestCase):
+    def test_a_server_that_starts_again_under_its_id_is_cold(self):
+        guard = guard_with(endpoint(1, born_ms=1_000))
+        again = endpoint(1, born_ms=2_000, cold_s=3.0, revision=20)
+        self.assertIn("server_cold", events_of(change(guard, again, now=0.5)))
+
+
 class ClosedTest(unittest.TestCase):
     def _reason(self, guard, **changes) -> str:
         (refusal,) = refusals(hand(guard, 1.0, number=50, **changes))
