Ask the server's speed just before a start; serve what can be in time first

Cause: work that starts while a VM is slow stays slow to its end (55 ms become 367 at the factor 7, in all of 17 exchanges of a log). Under overload the queue went by arrival, and all that was served was late. Attempts were cut off at their deadline that could not have finished (14 in half a second after the power is back). Ruled out: asking more often at all times, which costs the most while nothing starts. Change: a start needs a word of the server of at most 20 ms and waits up to 60 ms for a health answer; while the server is slow, attempts are handed back or wait until it is quick; what cannot finish is refused as not run; what can still meet its objective goes first. Guards tell the work of a request at the usual speed, by which entries choose. entry.py is split: calls, budgets, routetimes; what is known of the server is in health.

--- a/src/pollenroad/guard/admission.py
+++ b/src/pollenroad/guard/admission.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from pollenroad.messages import Attempt
@@ -33,6 +33,8 @@
     deadline: float
     start_by: float
     """Latest useful start, in monotonic seconds."""
+    on_time_until: float = float("inf")
+    """Latest start that is likely to meet the latency objective, in monotonic seconds."""
 
 
 def make_waiting(
@@ -123,18 +125,24 @@
             del self._waiting_by_class[name]
         return waiting
 
+    def remove_if(self, condition: Callable[[Attempt], bool]) -> list[Waiting]:
+        """Take out the attempts for which a condition holds."""
+        queues = self._waiting_by_class.values()
+        found = [i for queue in queues for i, w in queue.items() if condition(w.attempt)]
+        return [self.remove(attempt_id) for attempt_id in found]
+
     def clear(self) -> list[Waiting]:
         """Take all attempts out."""
         return [self.remove(attempt_id) for attempt_id in list(self._class_by_attempt)]
 
     def take(self, bound: int, now: float) -> Waiting | None:
         """Take out the attempt that is to start next, or return None if none waits."""
-        heads = [next(iter(queue.values())) for queue in self._waiting_by_class.values()]
+        heads = [_head(queue, now) for queue in self._waiting_by_class.values()]
         if not heads:
             return None
         lacks = [(self._shares.lack(head.request_class, bound, now), head) for head in heads]
         lack, owed = max(lacks, key=lambda pair: pair[0])
-        chosen = owed if lack > 0 else min(heads, key=_by_worth)
+        chosen = owed if lack > 0 else min(heads, key=lambda head: _turn(head, now))
         return self.remove(chosen.attempt.attempt_id)
 
     def trim(self, bound: int, service_s: float, now: float) -> list[Waiting]:
@@ -173,5 +181,14 @@
         return wait_s
 
 
-def _by_worth(waiting: Waiting) -> tuple[float, float]:
-    return (-waiting.request_class.worth, waiting.arrived)
+def _head(queue: OrderedDict[str, Waiting], now: float) -> Waiting:
+    """Return the oldest attempt that can still meet its objective, or else the oldest of all.
+
+    Under overload an order of arrival alone would serve nothing but requests that are late.
+    """
+    on_time = (waiting for waiting in queue.values() if waiting.on_time_until >= now)
+    return next(on_time, None) or next(iter(queue.values()))
+
+
+def _turn(waiting: Waiting, now: float) -> tuple[bool, float, float]:
+    return (waiting.on_time_until < now, -waiting.request_class.worth, waiting.arrived)
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -117,6 +117,8 @@
     retry_after_ms: float = 0.0
     reached_server: bool = False
     """Whether the server has had the request, also where it refused to run it."""
+    work_ms: float = 0.0
+    """Time that the request took at the server, at the server's usual speed, in milliseconds."""
 
 
 class CancelAttempt(Message, tag="cancel"):
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -28,8 +28,9 @@
     ServerSeen,
     ServerSilent,
 )
+from pollenroad.proxy.budgets import BudgetRules
 from pollenroad.proxy.directory import make_directory
-from pollenroad.proxy.entry import BudgetRules, Entry
+from pollenroad.proxy.entry import Entry
 from pollenroad.proxy.guard import make_guard
 from pollenroad.proxy.relay import DirectoryRelay
 
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -27,10 +27,10 @@
     TellLoad,
     WatchDirectory,
 )
+from pollenroad.proxy.budgets import BudgetRules
 from pollenroad.proxy.callers import Callers, make_caller_server
 from pollenroad.proxy.cores import Place, ProxyCores
 from pollenroad.proxy.dialect import Dialect
-from pollenroad.proxy.entry import BudgetRules
 from pollenroad.proxy.following import Follower, Source
 from pollenroad.proxy.http1 import Page, serve_pages
 from pollenroad.proxy.metrics import CONTENT_TYPE, ProxyMetrics
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -7,7 +7,6 @@
 
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 
 from pollenroad.boundary import (
     Action,
@@ -20,15 +19,23 @@
     SendPeer,
     Tick,
 )
-from pollenroad.entry.latencies import Latencies
-from pollenroad.entry.retries import Budget
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport, Response
 from pollenroad.proxy.boundary import Event, LoadHeard, RequestArrived
+from pollenroad.proxy.budgets import BudgetRules, Budgets
+from pollenroad.proxy.calls import (
+    RETRY_AFTER_S,
+    OpenAttempt,
+    OpenCall,
+    age_ms,
+    attempt_ended,
+    call_answered,
+    request_refused,
+)
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.fleet import EndpointView, Work, make_fleet
 from pollenroad.proxy.guard import FULL, SLOW
 from pollenroad.proxy.routes import Splitter
-from pollenroad.published import Route
+from pollenroad.proxy.routetimes import RouteTimes
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict, may_retry
 
@@ -50,21 +57,6 @@
 MAX_REFUSALS = 6
 """Refusals by guards after which a request is given up, so that it does not circle."""
 
-RETRY_AFTER_S = 0.3
-"""Advice to callers where no guard gives any, in seconds."""
-
-FIRST_GUESS_SHARE = 0.35
-"""Usual time of a route that is not known yet, as a share of its latency objective."""
-
-HEDGE_QUANTILE = 0.9
-"""Latency quantile at which an attempt counts as late."""
-
-HEDGE_MIN_SHARE = 0.15
-"""Earliest time of a hedge, as a share of the latency objective."""
-
-HEDGE_MAX_SHARE = 0.6
-"""Latest time of a first look at an attempt, as a share of the latency objective."""
-
 SLOW_FACTOR = 2.5
 """Slowdown of a server from which its open attempts are looked at early."""
 
@@ -82,69 +74,6 @@
 """Time kept for the way of the answer out of what a server may use, in seconds."""
 
 
-RATIO_SHARE = 0.5
-"""Part of the bound's ratio that entries use: the calls that a repeated run makes count as repeats
-at the service that they go to."""
-
-SLACK_SHARE = 0.8
-"""Part of the bound's slack that entries use, so that some may believe in a smaller fleet."""
-
-FLEET_MIN = 4
-"""Entries assumed to share the bound at the least."""
-
-
-@dataclass(slots=True)
-class OpenCall:
-    """A request without an answer yet."""
-
-    arrived: RequestArrived
-    route: Route
-    service: str
-    started: float
-    ends: float
-    """Monotonic time at which the request is answered whatever has happened."""
-    sends: int = 0
-    """Attempts that are open or have reached a server."""
-    refusals: int = 0
-    hand_backs: int = 0
-    maybe_ran: bool = False
-    tried: set[str] = field(default_factory=set)
-    open_attempt_ids: set[str] = field(default_factory=set)
-    failure: Response | None = None
-    """A server's own failure, kept while another server is tried."""
-    retry_after_s: float = RETRY_AFTER_S
-
-
-@dataclass(frozen=True, slots=True)
-class OpenAttempt:
-    """An attempt that was handed over and has not ended."""
-
-    call_id: str
-    view: EndpointView
-    sent_at: float
-
-
-@dataclass(frozen=True, slots=True)
-class BudgetRules:
-    """Bound on sends beyond the first of each request, for the whole fleet."""
-
-    ratio: float = 0.2
-    """Share of the requests of a service that may be sent again in a window."""
-    slack: float = 0.0
-    """Sends beyond that in a window."""
-    window_s: float = 10.0
-    """Length of the window, in seconds."""
-
-    def of_one(self, count: int) -> tuple[float, float, float]:
-        """Return ratio, tokens a second and capacity of the budget of one of `count` entries.
-
-        In every window an entry spends at most its capacity, and what it gained in the window by
-        the larger of traffic and time; over all entries that stays within the bound.
-        """
-        slack = self.slack * SLACK_SHARE / max(FLEET_MIN, count)
-        return self.ratio * RATIO_SHARE, slack / 2 / self.window_s, max(1.0, slack / 2)
-
-
 class Entry:
     """State of one entry: open requests, their attempts, and what is known of endpoints."""
 
@@ -161,16 +90,13 @@
         self.fleet = make_fleet(failure_domain, rng)
         self._incarnation = incarnation
         self._directory = directory
-        self._rules = rules
+        self._budgets = Budgets(rules, directory)
         self._splitter = Splitter()
         self._call_by_id: dict[str, OpenCall] = {}
         self._attempt_by_id: dict[str, OpenAttempt] = {}
         self._attempt_count = 0
         self._timers = Timers()
-        self._latencies_by_route: dict[str, Latencies] = {}
-        self._budget_by_service: dict[str, Budget] = {}
-        self._budget_revision = -1
-        self._budget_of_one = rules.of_one(0)
+        self._times = RouteTimes()
 
     @property
     def open_calls(self) -> int:
@@ -217,7 +143,7 @@
         service = self._splitter.service_of(route)
         call = OpenCall(arrived, route, service, now, ends)
         self._call_by_id[arrived.call_id] = call
-        self._budget(service, now).first_attempt()
+        self._budgets.of(service, now).first_attempt()
         self._timers.set(("end", arrived.call_id), ends)
         yield from self._send(call, "first", now)
 
@@ -235,7 +161,7 @@
             (endpoint, directory.is_doubtful(endpoint.incarnation))
             for endpoint in directory.endpoints(call.service)
         )
-        work = Work(self._work_s(call.route), call.route.objective_s)
+        work = Work(self._times.work_s(call.route), call.route.objective_s)
         return self.fleet.choose(candidates, call.tried, work, now)
 
     def _send_to(
@@ -258,7 +184,7 @@
             ("cost_ms", round(cost_s * 1000)),
             ("in_flight", view.in_flight()),
             ("slowdown", round(view.current_slowdown(now), 2)),
-            ("report_age_ms", _age_ms(view.reported_at, now)),
+            ("report_age_ms", age_ms(now - view.reported_at)),
             ("config_version", self._directory.configuration.version),
             ("revision", self._directory.revision),
         )
@@ -285,7 +211,7 @@
             objective_ms=max(0.0, call.started + route.objective_s - now) * 1000,
             priority=route.priority,
             assumed_load=view.in_flight(),
-            usual_ms=self._work_s(route) * 1000,
+            usual_ms=self._times.work_s(route) * 1000,
             assumed_slowdown=0.0 if is_last else max(1.0, view.current_slowdown(now)),
         )
 
@@ -320,10 +246,10 @@
         verdict = Verdict(answer.verdict)
         if answer.load is not None:
             attempt.view.learn(answer.load, now)
-        yield _ended(call, answer.attempt_id, attempt, verdict, answer.reason, now)
+        yield attempt_ended(call, answer.attempt_id, attempt, verdict, answer.reason, now)
         match verdict:
             case Verdict.RAN:
-                yield from self._on_ran(call, attempt, answer.response, now)
+                yield from self._on_ran(call, attempt, answer, now)
             case Verdict.UNKNOWN:
                 attempt.view.failed(now)
                 yield from self._on_unknown(call, answer.reason, now)
@@ -335,11 +261,12 @@
                 yield from self._on_not_run(call, endpoint, answer.reason, reached, now)
 
     def _on_ran(
-        self, call: OpenCall, attempt: OpenAttempt, response: Response, now: float
+        self, call: OpenCall, attempt: OpenAttempt, answer: AttemptAnswer, now: float
     ) -> Iterator[Action]:
+        response = answer.response
         if response.status < SERVER_ERROR:
             attempt.view.succeeded(now)
-            self._latencies(call.route).add(now - attempt.sent_at)
+            self._times.add(call.route, now - attempt.sent_at, answer.work_ms / 1000)
             yield from self._finish(call, Verdict.RAN, "", now, response, attempt.view)
             return
         attempt.view.failed(now)
@@ -377,7 +304,7 @@
             return
         if self._may_send_again(call, verdict, now):
             chosen = self._choose(call, now)
-            if chosen is not None and self._budget(call.service, now).spend(now):
+            if chosen is not None and self._budgets.of(call.service, now).spend(now):
                 yield from self._send_to(call, *chosen, "retry", now)
                 return
         yield from self._finish(call, verdict, reason, now)
@@ -386,7 +313,7 @@
         if call.sends >= call.route.max_attempts:
             return False
         if call.route.idempotent:
-            return now + self._work_s(call.route) / 2 < call.ends
+            return now + self._times.work_s(call.route) / 2 < call.ends
         return may_retry(verdict, False) and not call.maybe_ran
 
     def _on_unsent(self, attempt_id: str, now: float) -> Iterator[Action]:
@@ -395,7 +322,7 @@
             return
         call, attempt = closed
         attempt.view.unreachable(now)
-        yield _ended(call, attempt_id, attempt, Verdict.NOT_RUN, "unreachable", now)
+        yield attempt_ended(call, attempt_id, attempt, Verdict.NOT_RUN, "unreachable", now)
         yield from self._on_not_run(call, "", "unreachable", False, now)
 
     def _on_peer_lost(self, peer: str, now: float) -> Iterator[Action]:
@@ -406,7 +333,7 @@
             closed = self._close_attempt(attempt_id, now)
             if closed is not None:
                 call, attempt = closed
-                yield _ended(call, attempt_id, attempt, Verdict.UNKNOWN, "peer-lost", now)
+                yield attempt_ended(call, attempt_id, attempt, Verdict.UNKNOWN, "peer-lost", now)
                 yield from self._on_unknown(call, "peer-lost", now)
 
     # --- Ends of requests ---
@@ -428,7 +355,7 @@
         yield from self._close(call, now)
         endpoint = view.endpoint.incarnation if view else ""
         retry_after_ms = call.retry_after_s * 1000 if verdict is Verdict.NOT_RUN else 0.0
-        yield _answered(call, verdict, reason, endpoint, now)
+        yield call_answered(call, verdict, reason, endpoint, now)
         yield AnswerCall(
             call.arrived.call_id, verdict, reason, response, call.sends, endpoint, retry_after_ms
         )
@@ -447,7 +374,7 @@
         call = self._call_by_id.get(call_id)
         if call is not None:
             yield from self._close(call, now)
-            yield _answered(call, Verdict.UNKNOWN, "abandoned", "", now)
+            yield call_answered(call, Verdict.UNKNOWN, "abandoned", "", now)
 
     # --- Time and load ---
 
@@ -469,11 +396,8 @@
     def _look_later(self, call: OpenCall, view: EndpointView, now: float) -> None:
         if not call.route.idempotent or call.sends >= call.route.max_attempts:
             return
-        objective_s = call.route.objective_s
-        usual_s = self._latencies(call.route).quantile(HEDGE_QUANTILE)
-        look_s = HEDGE_MAX_SHARE * objective_s if usual_s is None else usual_s
-        look_s = max(HEDGE_MIN_SHARE * objective_s, min(HEDGE_MAX_SHARE * objective_s, look_s))
-        self._timers.set(("look", call.arrived.call_id), now + look_s)
+        due = now + self._times.late_s(call.route)
+        self._timers.set(("look", call.arrived.call_id), due)
 
     def _hedge(self, call: OpenCall, now: float) -> Iterator[Action]:
         """Send a late idempotent request to a second endpoint, if that one will be quicker."""
@@ -481,7 +405,7 @@
             return
         chosen = self._choose(call, now)
         is_better = chosen is not None and self._is_quicker(call, chosen[1], now)
-        if is_better and self._budget(call.service, now).spend(now):
+        if is_better and self._budgets.of(call.service, now).spend(now):
             yield from self._send_to(call, *chosen, "hedge", now)
             return
         self._timers.set(("look", call.arrived.call_id), now + LOOK_AGAIN_S)
@@ -492,7 +416,7 @@
         attempt = self._attempt_by_id[attempt_id]
         if now + cost_s > call.ends:
             return False
-        work_s = self._work_s(call.route)
+        work_s = self._times.work_s(call.route)
         left_s = max(work_s / 2, work_s - (now - attempt.sent_at))
         return cost_s <= left_s * max(SLOW_FACTOR, attempt.view.current_slowdown(now))
 
@@ -510,76 +434,8 @@
             (("endpoint", report.endpoint), ("slowdown", round(report.slowdown, 2))),
         )
 
-    def _latencies(self, route: Route) -> Latencies:
-        return self._latencies_by_route.setdefault(route.name, Latencies())
-
-    def _work_s(self, route: Route) -> float:
-        usual_s = self._latencies(route).quantile(0.5)
-        return FIRST_GUESS_SHARE * route.objective_s if usual_s is None else usual_s
-
-    def _budget(self, service: str, now: float) -> Budget:
-        if self._budget_revision != self._directory.revision:
-            self._share_budget()
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            ratio, per_s, capacity = self._budget_of_one
-            budget = Budget(ratio, per_s, capacity, 1.0, now)
-            self._budget_by_service[service] = budget
-        return budget
-
-    def _share_budget(self) -> None:
-        """Divide the fleet's bound anew, by the daemons that are known now."""
-        self._budget_revision = self._directory.revision
-        count = len({endpoint.guard for endpoint in self._directory.all_endpoints()})
-        self._budget_of_one = self._rules.of_one(count)
-        for budget in self._budget_by_service.values():
-            budget.ratio, budget.per_s, budget.capacity = self._budget_of_one
-
-
-def _age_ms(since: float, now: float) -> int | None:
-    return None if since == float("-inf") else round((now - since) * 1000)
-
 
 def _refuse(arrived: RequestArrived, reason: str) -> Iterator[Action]:
-    fields = (
-        ("request_id", arrived.request_id),
-        ("host", arrived.host),
-        ("path", arrived.request.path[:64]),
-        ("reason", reason),
-    )
-    yield Record("request_refused", fields)
+    yield request_refused(arrived, reason)
     advice_ms = RETRY_AFTER_S * 1000
     yield AnswerCall(arrived.call_id, Verdict.NOT_RUN, reason, retry_after_ms=advice_ms)
-
-
-def _ended(
-    call: OpenCall,
-    attempt_id: str,
-    attempt: OpenAttempt,
-    verdict: Verdict,
-    reason: str,
-    now: float,
-) -> Record:
-    fields = (
-        ("request_id", call.arrived.request_id),
-        ("attempt_id", attempt_id),
-        ("endpoint", attempt.view.endpoint.incarnation),
-        ("verdict", verdict.value),
-        ("reason", reason),
-        ("ms", round((now - attempt.sent_at) * 1000, 1)),
-    )
-    return Record("attempt_ended", fields)
-
-
-def _answered(call: OpenCall, verdict: Verdict, reason: str, endpoint: str, now: float) -> Record:
-    fields = (
-        ("request_id", call.arrived.request_id),
-        ("route", call.route.name),
-        ("service", call.service),
-        ("endpoint", endpoint),
-        ("verdict", verdict.value),
-        ("reason", reason),
-        ("attempts", call.sends),
-        ("ms", round((now - call.started) * 1000, 1)),
-    )
-    return Record("call_answered", fields)
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -36,13 +36,18 @@
     ServerSilent,
     TellLoad,
 )
+from pollenroad.proxy.calls import age_ms
 from pollenroad.proxy.directory import Directory
-from pollenroad.proxy.pacing import ColdPace
+from pollenroad.proxy.health import MIN_CHECK_S, SILENT_CHECKS, ServerHealth
 from pollenroad.proxy.telling import Telling
+from pollenroad.proxy.worktimes import WorkTimes
 from pollenroad.published import RegisteredEndpoint, ServiceRules
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
 
+SERVER_ERROR = 500
+"""Lowest HTTP status that counts as a failure of the server."""
+
 SLOW = "slow"
 """Reason of refusals where the server is slower than the entry assumed."""
 
@@ -52,28 +57,13 @@
 HAND_BACK_FACTOR = 2.0
 """Slowdown, as a multiple of the assumed one, from which an attempt is handed back."""
 
+SLOW_FACTOR = 2.5
+"""Slowdown from which attempts rather wait: what starts now stays slow, and the VM may be quick
+again in half a second."""
+
 BEAT_S = 0.1
 """Time between two looks at the server's state, in seconds."""
 
-CHECK_S = 0.09
-"""Age of the newest word of the server after which its health is asked, in seconds."""
-
-IDLE_CHECK_S = 0.45
-"""The same while no attempt has come for `IDLE_S`, in seconds."""
-
-MIN_CHECK_S = 0.02
-"""Shortest time between two health checks, in seconds: below the 60 a second that are allowed."""
-
-WARM_S = 1.0
-"""Age up to which the server's word that it is warm counts, in seconds."""
-
-UNCHECKED_STARTS = 4
-"""Requests handed over since that word, from which the server is taken as cold until it is asked
-again: it may turn cold at any moment, and what it got unpaced adds to what it gets paced."""
-
-IDLE_S = 2.0
-"""Time without an attempt after which less is asked, in seconds."""
-
 SMALL_FLEET = 16
 """Endpoints up to which all entries are told of the load, not only those that sent attempts."""
 
@@ -91,8 +81,9 @@
 MIN_WAIT_S = 0.03
 """Shortest time in seconds that an attempt may wait."""
 
-SILENT_CHECKS = 3
-"""Health checks without an answer, one after the other, after which the server counts as down."""
+FINISH_SHARE = 0.8
+"""Share of its expected time at the server that an attempt must have left at its start: one that
+is cut off at its deadline has used a slot for nothing."""
 
 SEEN_S = 15.0
 """Longest time left of any attempt, for which its id must be remembered, in seconds."""
@@ -114,17 +105,13 @@
         self._at_server = AtServer(shares)
         self._seen = SeenAttempts()
         self._ages = HandOverAges()
-        self._pace = ColdPace(now)
+        self._health = ServerHealth(now)
+        self._work = WorkTimes()
         self._telling = Telling()
         self._timers = Timers()
         self._is_stopping = False
-        self._last_seen = ServerSeen()
-        self._seen_at = float("-inf")
         self._attempted_at = now
-        self._checked_at = float("-inf")
-        self._unchecked = 0
-        self._is_checking = False
-        self._silent_checks = 0
+        self._slowdown_by_attempt: dict[str, float] = {}
         self._sequence = 0
         self._state = ""
         self._start_seen = ("", 0)
@@ -218,7 +205,7 @@
         self._attempted_at = now
         remaining_s = attempt.remaining_ms / 1000 - self._ages.age_s(attempt, now)
         waiting = self._waiting(peer, attempt, remaining_s, now)
-        reason = self._refusal(attempt, remaining_s)
+        reason = self._refusal(attempt, remaining_s, now)
         if reason:
             yield from self._refuse(waiting, reason, now)
             return
@@ -227,26 +214,39 @@
 
     def _waiting(self, peer: str, attempt: Attempt, remaining_s: float, now: float) -> Waiting:
         rank = RequestClass(name=attempt.request_class, worth=1 / (1 + attempt.priority))
-        room_s = (attempt.objective_ms - ROOM_FACTOR * attempt.usual_ms) / 1000
+        work_s = self._usual_s(attempt)
+        room_s = attempt.objective_ms / 1000 - ROOM_FACTOR * work_s
         start_by = now + max(MIN_WAIT_S, WAIT_SHARE * remaining_s, room_s)
-        return Waiting(peer, attempt, rank, now, now + remaining_s, start_by)
+        on_time_until = now + attempt.objective_ms / 1000 - work_s
+        return Waiting(peer, attempt, rank, now, now + remaining_s, start_by, on_time_until)
 
-    def _refusal(self, attempt: Attempt, remaining_s: float) -> str:
+    def _usual_s(self, attempt: Attempt) -> float:
+        work_s = self._work.usual_s(attempt.request_class)
+        return attempt.usual_ms / 1000 if work_s is None else work_s
+
+    def _refusal(self, attempt: Attempt, remaining_s: float, now: float) -> str:
         if reason := self.closed_reason():
             return reason
         if attempt.incarnation and attempt.incarnation != self.endpoint().incarnation:
             return NOT_HERE
         if remaining_s <= 0:
             return "deadline"
-        if self._silent_checks >= SILENT_CHECKS and not self.in_flight:
+        if self._health.is_down and not self.in_flight:
             return "server-down"
-        if attempt.assumed_slowdown:
-            if self._last_seen.slowdown >= HAND_BACK_FACTOR * attempt.assumed_slowdown:
-                return SLOW
-            if attempt.assumed_load < self._slots() <= self.in_flight + self.queued:
-                return FULL
+        if self._health.is_fresh(now) and self._is_slower_than_assumed(attempt):
+            return SLOW
+        slots = self._slots()
+        if (
+            attempt.assumed_slowdown
+            and attempt.assumed_load < slots <= self.in_flight + self.queued
+        ):
+            return FULL
         return ""
 
+    def _is_slower_than_assumed(self, attempt: Attempt) -> bool:
+        assumed = attempt.assumed_slowdown
+        return bool(assumed) and self._health.slowdown >= HAND_BACK_FACTOR * assumed
+
     def _refuse_all(self, reason: str, now: float) -> Iterator[Action]:
         for waiting in self._queue.clear():
             yield from self._refuse(waiting, reason, now)
@@ -261,6 +261,8 @@
             ("waited_ms", round((now - waiting.arrived) * 1000)),
             ("in_flight", self.in_flight),
             ("queued", self.queued),
+            ("slowdown", round(self._health.slowdown, 2)),
+            ("seen_age_ms", age_ms(self._health.age_s(now))),
             ("revision", self._directory.revision),
         )
         yield Record("attempt_refused", fields)
@@ -268,45 +270,62 @@
         yield self._send(waiting.peer, answer, now)
 
     def _fill(self, now: float) -> Iterator[Action]:
-        """Start what waits, while there are slots and, for a cold server, tokens."""
-        rules = self._rules()
-        rate_per_s = rules.cold_per_s if rules else 0.0
+        """Start what waits, while there are slots, the server is quick, and it is not spared."""
         slots = self._slots()
         while self._queue and self.in_flight < slots:
-            if not self._is_warm(now):
+            if self._health.needs_word(now):
                 yield from self._check(now)
-                if not rate_per_s or self._pace.take(rate_per_s, now):
-                    yield from self._start(self._queue.take(slots, now), now)
-                    continue
-                self._timers.set(("token", ""), now + self._pace.next_token_s(rate_per_s))
+                self._timers.set(("fill", ""), self._health.answer_due())
                 return
-            yield from self._start(self._queue.take(slots, now), now)
-            if self._unchecked >= UNCHECKED_STARTS / 2:
+            if self._health.slowdown >= SLOW_FACTOR:
+                yield from self._wait_until_quick(now)
+                return
+            if not self._take_turn(now):
                 yield from self._check(now)
+                return
+            yield from self._start(self._queue.take(slots, now), now)
+            yield from self._check(now)
+
+    def _take_turn(self, now: float) -> bool:
+        """Tell whether a request may start now, and use up the token of a server that is spared."""
+        rules = self._rules()
+        rate_per_s = rules.cold_per_s if rules else 0.0
+        if self._health.is_warm(now) or not rate_per_s:
+            return True
+        pace = self._health.pace
+        if pace.take(rate_per_s, now):
+            return True
+        self._timers.set(("fill", ""), now + pace.next_token_s(rate_per_s))
+        return False
 
-    def _is_warm(self, now: float) -> bool:
-        """Tell whether the server's own word that it is warm is fresh enough to go by."""
-        is_fresh = now - self._checked_at < WARM_S and self._unchecked < UNCHECKED_STARTS
-        return is_fresh and not self._pace.is_cold(now)
+    def _wait_until_quick(self, now: float) -> Iterator[Action]:
+        """Hand back what its entry would have sent elsewhere, and ask again soon for the rest."""
+        for waiting in self._queue.remove_if(self._is_slower_than_assumed):
+            yield from self._refuse(waiting, SLOW, now)
+        if self._queue:
+            self._timers.set(("fill", ""), now + MIN_CHECK_S)
 
     def _start(self, waiting: Waiting, now: float) -> Iterator[Action]:
         attempt = waiting.attempt
         remaining_s = waiting.deadline - now
         self._timers.cancel(("start", attempt.attempt_id))
-        if remaining_s <= 0:
+        needed_s = FINISH_SHARE * self._usual_s(attempt) * self._health.expected_slowdown(now)
+        if remaining_s <= needed_s:
             yield from self._refuse(waiting, "deadline", now)
             return
         self._timers.set(("deadline", attempt.attempt_id), waiting.deadline)
         self._at_server.start(waiting, now)
-        self._unchecked += 1
+        self._health.started()
+        self._slowdown_by_attempt[attempt.attempt_id] = self._health.expected_slowdown(now)
         fields = (
             ("request_id", attempt.request_id),
             ("attempt_id", attempt.attempt_id),
             ("waited_ms", round((now - waiting.arrived) * 1000)),
             ("remaining_ms", round(remaining_s * 1000)),
             ("in_flight", self.in_flight),
-            ("slowdown", round(self._last_seen.slowdown, 2)),
-            ("cold", self._pace.is_cold(now)),
+            ("slowdown", round(self._health.slowdown, 2)),
+            ("seen_age_ms", age_ms(self._health.age_s(now))),
+            ("cold", self._health.is_cold(now)),
         )
         yield Record("attempt_started", fields)
         yield RunAtServer(attempt, remaining_s)
@@ -337,6 +356,11 @@
             return
         running = self._at_server.end(attempt_id, now)
         self._timers.cancel(("deadline", attempt_id))
+        slowdown = self._slowdown_by_attempt.pop(attempt_id)
+        if answer.response is not None and answer.response.status < SERVER_ERROR:
+            work_s = (now - running.started) / slowdown
+            self._work.add(running.waiting.attempt.request_class, work_s)
+            answer = replace(answer, work_ms=work_s * 1000)
         status = answer.response.status if answer.response else 0
         fields = (
             ("request_id", running.waiting.attempt.request_id),
@@ -357,21 +381,11 @@
     # --- The server ---
 
     def _on_seen(self, seen: ServerSeen, now: float) -> Iterator[Action]:
-        self._silent_checks = 0
-        self._last_seen = seen
-        self._seen_at = now
-        if not seen.is_health:
-            return
-        self._is_checking = False
-        self._checked_at = now
-        self._unchecked = 0
-        if seen.cold_s is not None and self._pace.set_cold(seen.cold_s, now):
+        if self._health.seen(seen, now):
             yield Record("server_cold", (("cold_s", seen.cold_s), ("source", "server")))
 
     def _on_silent(self, reason: str) -> Iterator[Action]:
-        self._is_checking = False
-        self._silent_checks += 1
-        if self._silent_checks == SILENT_CHECKS:
+        if self._health.silent():
             yield Record("server_silent", (("reason", reason), ("checks", SILENT_CHECKS)))
 
     def _note_incarnation(self, now: float) -> Iterator[Action]:
@@ -379,9 +393,7 @@
         if endpoint is None or (endpoint.incarnation, endpoint.born_ms) == self._start_seen:
             return
         self._start_seen = (endpoint.incarnation, endpoint.born_ms)
-        self._silent_checks = 0
-        self._checked_at = float("-inf")
-        if endpoint.cold_s > 0 and self._pace.set_cold(endpoint.cold_s, now):
+        if self._health.restarted(endpoint.cold_s, now):
             yield Record("server_cold", (("cold_s", endpoint.cold_s), ("source", "registration")))
 
     # --- Time ---
@@ -391,13 +403,21 @@
             match kind:
                 case "start":
                     if waiting := self._queue.remove(key):
-                        yield from self._refuse(waiting, "overloaded", now)
+                        yield from self._start_last(waiting, now)
                 case "deadline":
                     yield from self._on_deadline(key, now)
                 case "beat":
                     self._timers.set(("beat", ""), now + BEAT_S)
                     yield from self._check(now)
 
+    def _start_last(self, waiting: Waiting, now: float) -> Iterator[Action]:
+        """Start an attempt that cannot wait longer, or refuse it."""
+        is_slow = self._health.slowdown >= SLOW_FACTOR
+        if is_slow and self.in_flight < self._slots() and self._take_turn(now):
+            yield from self._start(waiting, now)
+            return
+        yield from self._refuse(waiting, "overloaded", now)
+
     def _on_deadline(self, attempt_id: str, now: float) -> Iterator[Action]:
         running = self._at_server.get(attempt_id)
         if running is None or not running.is_wanted:
@@ -409,19 +429,12 @@
 
     def _check(self, now: float) -> Iterator[Action]:
         rules = self._rules()
-        if rules is None or self._is_checking or not self._is_check_due(now):
+        has_waiting = bool(self._queue)
+        if rules is None or not self._health.is_check_due(now, self._attempted_at, has_waiting):
             return
-        self._is_checking = True
+        self._health.asked(now)
         yield CheckServer(rules.health_path, CHECK_TIMEOUT_S)
 
-    def _is_check_due(self, now: float) -> bool:
-        if self._unchecked >= UNCHECKED_STARTS / 2 and now - self._checked_at >= MIN_CHECK_S:
-            return True
-        is_idle = now - self._attempted_at > IDLE_S
-        return now - self._seen_at >= (IDLE_CHECK_S if is_idle else CHECK_S) or (
-            bool(self._queue) and now - self._checked_at >= WARM_S
-        )
-
     # --- Load ---
 
     def _report(self, now: float) -> LoadReport:
@@ -435,7 +448,7 @@
             bound=self._slots(),
             state=self._report_state(now),
             sequence=self._sequence,
-            slowdown=self._last_seen.slowdown,
+            slowdown=self._health.slowdown,
         )
 
     def _report_state(self, now: float) -> str:
@@ -444,9 +457,9 @@
                 pass
             case reason:
                 return "draining" if reason == LEAVING else "out"
-        if self._silent_checks >= SILENT_CHECKS:
+        if self._health.is_down:
             return "down"
-        return "cold" if self._pace.is_cold(now) else "serving"
+        return "cold" if self._health.is_cold(now) else "serving"
 
     def _tell(self, now: float) -> Iterator[Action]:
         report = self._report(now)
--- a/tests/proxy/samples.py
+++ b/tests/proxy/samples.py
@@ -5,8 +5,9 @@
 from pollenroad.boundary import AnswerCall, Record, SendPeer, Tick
 from pollenroad.messages import Attempt, AttemptAnswer, LoadReport, Request, Response
 from pollenroad.proxy.boundary import DirectoryRead, RequestArrived, ServerSeen
+from pollenroad.proxy.budgets import BudgetRules
 from pollenroad.proxy.directory import make_directory
-from pollenroad.proxy.entry import BudgetRules, Entry
+from pollenroad.proxy.entry import Entry
 from pollenroad.proxy.guard import make_guard
 from pollenroad.published import (
     Configuration,
