--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -11,7 +11,7 @@
 
 from pollenroad.published import Configuration, DomainOut, RegisteredEndpoint
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 ITEMS_PER_MESSAGE = 512
 """Entries in one message about documents or VMs, at the most."""
--- a/src/pollenroad/proxy/fleet.py
+++ b/src/pollenroad/proxy/fleet.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from pollenroad.messages import LoadReport
+from pollenroad.proxy.health import COLD_FACTOR
 from pollenroad.published import RegisteredEndpoint
 
 REMOTE_COST_SHARE = 0.2
@@ -23,9 +24,6 @@
 FULLNESS_COST = 0.5
 """Share by which work is slower at an endpoint whose slots are all in use."""
 
-COLD_FACTOR = 2.0
-"""Slowness assumed of a cold endpoint, as a multiple of the usual time."""
-
 FAILURE_COST_S = 1.0
 """Cost of an endpoint all of whose recent attempts failed, in seconds."""
 
@@ -65,6 +63,8 @@
     sent_since_report: int = 0
     reported: int = 0
     """Requests there, running and waiting, as last reported."""
+    bound: int = 0
+    """Requests that its guard lets run at once; 0 if not reported."""
     slowdown: float = 1.0
     state: str = "serving"
     sequence: int = -1
@@ -81,6 +81,7 @@
             return False
         self.sequence = report.sequence
         self.reported = report.in_flight + report.queued
+        self.bound = report.bound
         self.slowdown = max(1.0, report.slowdown)
         self.state = report.state
         self.reported_at = now
@@ -95,13 +96,13 @@
 
     def current_slowdown(self, now: float) -> float:
         """Return the slowdown that was last reported, while the report is fresh."""
-        is_fresh = now - self.reported_at < SLOW_MEMORY_S
-        factor = self.slowdown if is_fresh else 1.0
-        return factor * (COLD_FACTOR if self.state == "cold" and is_fresh else 1.0)
+        if now - self.reported_at >= SLOW_MEMORY_S:
+            return 1.0
+        return max(self.slowdown, COLD_FACTOR if self.state == "cold" else 1.0)
 
     def expected_s(self, work_s: float, now: float) -> float:
         """Return the time that a request of `work_s` seconds would take there, in seconds."""
-        slots = max(1, self.endpoint.slots)
+        slots = max(1, self.bound or self.endpoint.slots)
         in_flight = self.in_flight()
         waiting = max(0, in_flight + 1 - slots)
         busy = work_s * (1 + FULLNESS_COST * min(1.0, in_flight / slots) ** 2)
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from msgspec.structs import replace
 
@@ -37,6 +38,7 @@
     TellLoad,
 )
 from pollenroad.proxy.calls import age_ms
+from pollenroad.proxy.crowding import Crowding, calm_slots
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.health import MIN_CHECK_S, SILENT_CHECKS, ServerHealth
 from pollenroad.proxy.pacing import NO_COLD_BOUND, ColdBound
@@ -93,6 +95,15 @@
 """Slots of a server that has not registered yet."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Start:
+    """The server's state when an attempt was handed over."""
+
+    slowdown: float
+    is_crowded: bool
+    """Whether more than the calm share of the slots was in use."""
+
+
 class Guard:
     """State of one guard: its endpoint, what waits, and what runs at its server."""
 
@@ -115,7 +126,8 @@
         self._timers = Timers()
         self._is_stopping = False
         self._attempted_at = now
-        self._slowdown_by_attempt: dict[str, float] = {}
+        self._start_by_attempt: dict[str, _Start] = {}
+        self._crowding = Crowding()
         self._sequence = 0
         self._state = ""
         self._start_seen = ("", 0)
@@ -162,6 +174,14 @@
         endpoint = self.endpoint()
         return endpoint.slots if endpoint and endpoint.slots > 0 else DEFAULT_SLOTS
 
+    def _has_room(self, now: float) -> bool:
+        """Tell whether one more request may be handed to the server."""
+        slots, in_flight = self._slots(), self.in_flight
+        if in_flight < self._crowding.bound(slots):
+            return True
+        crowded = sum(start.is_crowded for start in self._start_by_attempt.values())
+        return in_flight < slots and self._crowding.may_try(crowded, now)
+
     # --- Events ---
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -276,8 +296,7 @@
 
     def _fill(self, now: float) -> Iterator[Action]:
         """Start what waits, while there are slots, the server is quick, and it is not spared."""
-        slots = self._slots()
-        while self._queue and self.in_flight < slots:
+        while self._queue and self._has_room(now):
             if self._health.needs_word(now):
                 yield from self._check(now)
                 self._timers.set(("fill", ""), self._health.answer_due())
@@ -285,7 +304,7 @@
             if self._health.slowdown >= SLOW_FACTOR:
                 yield from self._wait_until_quick(now)
                 return
-            waiting = self._queue.peek(slots, now)
+            waiting = self._queue.peek(self._slots(), now)
             if self._can_finish(waiting, now) and not self._take_turn(now):
                 yield from self._check(now)
                 return
@@ -326,7 +345,9 @@
         self._timers.set(("deadline", attempt.attempt_id), waiting.deadline)
         self._at_server.start(waiting, now)
         self._health.started()
-        self._slowdown_by_attempt[attempt.attempt_id] = self._health.expected_slowdown(now)
+        self._start_by_attempt[attempt.attempt_id] = _Start(
+            self._health.expected_slowdown(now), self.in_flight > calm_slots(self._slots())
+        )
         fields = (
             ("request_id", attempt.request_id),
             ("attempt_id", attempt.attempt_id),
@@ -366,10 +387,10 @@
             return
         running = self._at_server.end(attempt_id, now)
         self._timers.cancel(("deadline", attempt_id))
-        slowdown = self._slowdown_by_attempt.pop(attempt_id)
+        start = self._start_by_attempt.pop(attempt_id)
         if answer.response is not None and answer.response.status < SERVER_ERROR:
-            work_s = (now - running.started) / slowdown
-            self._work.add(running.waiting.attempt.request_class, work_s)
+            work_s = (now - running.started) / start.slowdown
+            self._learn(running.waiting.attempt.request_class, work_s, start.is_crowded, now)
             answer = replace(answer, work_ms=work_s * 1000)
         status = answer.response.status if answer.response else 0
         fields = (
@@ -385,6 +406,13 @@
         if running.is_wanted:
             yield self._send(running.waiting.peer, answer, now)
 
+    def _learn(self, request_class: str, work_s: float, is_crowded: bool, now: float) -> None:
+        usual_s = self._work.usual_s(request_class)
+        if not is_crowded:
+            self._work.add(request_class, work_s)
+        elif usual_s:
+            self._crowding.add(work_s / usual_s, now)
+
     def _send(self, peer: str, answer: AttemptAnswer, now: float) -> Action:
         return SendPeer(peer, replace(answer, load=self._report(now)))
 
@@ -423,7 +451,7 @@
     def _start_last(self, waiting: Waiting, now: float) -> Iterator[Action]:
         """Start an attempt that cannot wait longer, or refuse it."""
         is_slow = self._health.slowdown >= SLOW_FACTOR
-        if is_slow and self.in_flight < self._slots() and self._take_turn(now):
+        if is_slow and self._has_room(now) and self._take_turn(now):
             yield from self._start(waiting, now)
             return
         yield from self._refuse(waiting, "overloaded", now)
@@ -455,7 +483,7 @@
             endpoint=endpoint.incarnation if endpoint else "",
             in_flight=self.in_flight,
             queued=self.queued,
-            bound=self._slots(),
+            bound=self._crowding.bound(self._slots()),
             state=self._report_state(now),
             sequence=self._sequence,
             slowdown=self._health.slowdown,
--- a/src/pollenroad/proxy/health.py
+++ b/src/pollenroad/proxy/health.py
@@ -34,7 +34,7 @@
 """Health checks without an answer, one after the other, after which the server counts as down."""
 
 COLD_FACTOR = 2.0
-"""Slowness assumed of a cold server, as a multiple of the usual time."""
+"""Least slowdown assumed of a cold server, as a multiple of the usual time."""
 
 
 class ServerHealth:
@@ -67,7 +67,7 @@
 
     def expected_slowdown(self, now: float) -> float:
         """Return by what factor work that starts now takes longer than usual."""
-        return self.slowdown * (COLD_FACTOR if self.is_cold(now) else 1.0)
+        return max(self.slowdown, COLD_FACTOR if self.is_cold(now) else 1.0)
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether the server's word on its speed is fresh enough to go by."""
--- a/src/pollenroad/shell/peers.py
+++ b/src/pollenroad/shell/peers.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 import gevent
+import msgspec
 from gevent.event import Event as Flag
 from gevent.server import StreamServer
 
@@ -33,6 +34,7 @@
 )
 from pollenroad.shell.control_cost import CostMeter, make_cost_meter
 from pollenroad.shell.frames import (
+    COMPRESSED_PROTOCOL,
     HEAD_BYTES,
     decode_message,
     encode_frame,
@@ -85,8 +87,9 @@
 class _Link:
     """One open connection: an outbox, a task that writes it, and a task that reads."""
 
-    def __init__(self, sock, stream, peer: str, on_closed: Callable, meter: CostMeter):
-        self.peer = peer
+    def __init__(self, sock, stream, hello: Hello, on_closed: Callable, meter: CostMeter):
+        self.peer = hello.address
+        self._compresses = hello.protocol >= COMPRESSED_PROTOCOL
         self._meter = meter
         self._sock = sock
         self._stream = stream
@@ -100,10 +103,10 @@
         self._writer = gevent.spawn(self._write)
 
     def send(self, message: PeerMessage) -> None:
-        frame = encode_frame(message)
         if self._closed:
             self._on_closed(self, [message])
             return
+        frame = encode_frame(message, self._compresses)
         self._meter.sent(message, len(frame))
         if not self._outbox and self._send_at_once(frame):
             return
@@ -278,7 +281,8 @@
         except BaseException:
             sock.close()
             raise
-        return _Link(sock, stream, peer, self._on_dialled_closed, self._meter)
+        acceptor = msgspec.structs.replace(challenge, address=peer)
+        return _Link(sock, stream, acceptor, self._on_dialled_closed, self._meter)
 
     def _hello(self, nonce: str) -> Hello:
         me = self._identity
@@ -311,7 +315,7 @@
             log("peer_refused", peer=f"{remote[0]}:{remote[1]}", reason=str(error))
             sock.close()
             return
-        link = _Link(sock, stream, hello.address, self._on_accepted_closed, self._meter)
+        link = _Link(sock, stream, hello, self._on_accepted_closed, self._meter)
         self._accepted_by_peer[hello.address] = link
         link.read(lambda message: self._post(PeerReceived(hello.address, message)))
 
--- a/tests/proxy/test_proxy_guard.py
+++ b/tests/proxy/test_proxy_guard.py
@@ -123,7 +123,7 @@
         started = [a for n in range(1, 9) for a in of_kind(hand(guard, number=n), RunAtServer)]
         self.assertEqual((len(started), guard.queued), (4, 4))
         guard.handle(ServerSeen(is_health=True), 0.04)
-        actions = guard.handle(ServerAnswered("entry-1", Response(200)), 0.05)
+        actions = guard.handle(ServerAnswered("entry-4", Response(200)), 0.05)
         self.assertEqual(len(of_kind(actions, RunAtServer)), 1)
 
     def test_a_start_waits_for_a_fresh_word_of_the_servers_speed(self):
@@ -177,7 +177,7 @@
         hand(guard, number=5, usual_ms=100.0, objective_ms=0.0)
         hand(guard, number=6, usual_ms=100.0, objective_ms=400.0)
         guard.handle(ServerSeen(is_health=True), 0.1)
-        actions = guard.handle(ServerAnswered("entry-100", Response(200)), 0.1)
+        actions = guard.handle(ServerAnswered("entry-103", Response(200)), 0.1)
         (run,) = of_kind(actions, RunAtServer)
         self.assertEqual(run.attempt.attempt_id, "entry-6")
 
@@ -186,7 +186,7 @@
         fill(guard)
         hand(guard, number=5, priority=2, request_class="low")
         hand(guard, number=6, priority=0, request_class="high")
-        actions = guard.handle(ServerAnswered("entry-100", Response(200)), 0.02)
+        actions = guard.handle(ServerAnswered("entry-103", Response(200)), 0.02)
         (run,) = of_kind(actions, RunAtServer)
         self.assertEqual(run.attempt.attempt_id, "entry-6")
 
@@ -251,6 +251,31 @@
         self.assertEqual(of_kind(actions, CancelAtServer), [CancelAtServer("entry-1")])
 
 
+class CrowdingTest(unittest.TestCase):
+    def _most_at_once(self, crowded_s: float) -> int:
+        """Keep ten requests waiting; the server takes `crowded_s` above eight of ten slots."""
+        guard, ends, now, number, most = guard_with(endpoint(1, slots=10)), {}, 0.0, 0, 0
+        while now < 4.0:
+            actions = guard.handle(ServerSeen(is_health=True), now)
+            while guard.queued < 10:
+                number += 1
+                actions += hand(guard, now, number=number, remaining_ms=5000.0)
+            for done in [i for i, end in ends.items() if end <= now]:
+                del ends[done]
+                actions += guard.handle(ServerAnswered(done, Response(200)), now)
+            for run in of_kind(actions, RunAtServer):
+                ends[run.attempt.attempt_id] = now + (0.1 if len(ends) < 8 else crowded_s)
+            most = max(most, len(ends)) if now > 3.0 else 0
+            now += 0.01
+        return most
+
+    def test_a_server_that_slows_itself_down_keeps_some_slots_free(self):
+        self.assertEqual(self._most_at_once(0.17), 8)
+
+    def test_a_server_that_does_not_is_used_up_to_its_slots(self):
+        self.assertEqual(self._most_at_once(0.1), 10)
+
+
 class ColdTest(unittest.TestCase):
     def _most_in_a_second(self, guard, cold_until: float = 0.0, seconds: float = 3.0) -> int:
         """Offer 100 requests a second; the server tells in health answers whether it is cold."""
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -9,7 +9,14 @@
 
 from pollenroad.exceptions import PeerError
 from pollenroad.messages import Attempt, Message, Request
-from pollenroad.shell.frames import MAX_FRAME_BYTES, decode_message, encode_frame, read_message
+from pollenroad.shell.frames import (
+    COMPRESSED,
+    MAX_FRAME_BYTES,
+    decode_message,
+    encode_frame,
+    read_body,
+    read_message,
+)
 
 ATTEMPT = Attempt("a-1", "q1", "races/registry", "club", "bind", False, 900.0, Request("GET", "/"))
 FRAME = encode_frame(ATTEMPT)
@@ -64,3 +71,34 @@
     def test_a_frame_cut_short_is_the_end_of_the_stream(self):
         self.assertIsNone(read_message(io.BytesIO(FRAME[:-1])))
         self.assertEqual(read_message(io.BytesIO(FRAME)), ATTEMPT)
+
+
+class CompressedFramesTest(unittest.TestCase):
+    def test_a_compressed_frame_is_shorter_and_reads_back(self):
+        frame = encode_frame(ATTEMPT, compresses=True)
+        self.assertLess(len(frame), 0.7 * len(FRAME))
+        self.assertEqual(read_message(io.BytesIO(frame)), ATTEMPT)
+        self.assertIsNone(read_message(io.BytesIO(frame[:-1])))
+
+    def test_what_does_not_shrink_goes_as_it_is(self):
+        body = bytes(range(256)) * 4
+        attempt = msgspec.structs.replace(ATTEMPT, request=Request("POST", "/", (), body))
+        frame = encode_frame(attempt, compresses=True)
+        self.assertLessEqual(len(frame), len(encode_frame(attempt)))
+        self.assertEqual(read_message(io.BytesIO(frame)), attempt)
+
+    def test_a_frame_that_unpacks_to_too_much_is_refused(self):
+        attempt = msgspec.structs.replace(ATTEMPT, request=Request("POST", "/", (), bytes(90_000)))
+        frame = encode_frame(attempt, compresses=True)
+        self.assertLess(len(frame), 4_000)
+        with self.assertRaises(PeerError):
+            read_body(io.BytesIO(frame), 5_000)
+
+    @RULES
+    @given(st.binary(max_size=300))
+    def test_any_compressed_bytes_are_a_message_or_refused(self, data):
+        frame = (COMPRESSED | len(data)).to_bytes(4, "big") + data
+        try:
+            self.assertIsInstance(read_message(io.BytesIO(frame)), Message | None)
+        except PeerError:
+            return
