Split guard, entry and callers of the proxy by job

Change: starting (when an attempt may start), health, local (what the directory says of this VM's server), answers, choosing, calls, budgets, routetimes, records and exchanges hold one job each; guard and entry keep the events. An entry's assumed load no longer counts the attempt itself, and a guard compares it with what its server bears now, not with its slots. Ruled out: a class of shared state between guard and entry, which would tie them.

--- a/src/pollenroad/proxy/callers.py
+++ b/src/pollenroad/proxy/callers.py
@@ -8,7 +8,6 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import gevent
 import h11
@@ -23,6 +22,13 @@
 from pollenroad.messages import Request
 from pollenroad.proxy.boundary import Event, RequestArrived
 from pollenroad.proxy.dialect import Dialect
+from pollenroad.proxy.exchanges import (
+    Exchange,
+    PartialRequest,
+    answer_bytes,
+    deadline_s,
+    framing_names,
+)
 from pollenroad.proxy.http1 import READ_BYTES
 from pollenroad.published import CallerLimits
 from pollenroad.shell.sockets import set_no_delay
@@ -41,45 +47,6 @@
 WRITE_TIMEOUT_S = 10.0
 """Time for a caller to take an answer, in seconds."""
 
-DEFAULT_DEADLINE_S = 60.0
-"""Deadline of a request that states none, in seconds."""
-
-STATUS_BY_REASON = {
-    "no-route": 404,
-    "body-too-large": 413,
-    "malformed": 400,
-    "header-timeout": 408,
-}
-"""Status of a refusal by reason; 503 for others."""
-
-
-@dataclass(slots=True)
-class Exchange:
-    """A request of a connection, and its answer once there is one."""
-
-    call_id: str
-    connection: h11.Connection
-    request_id: str
-    answer: AnswerCall | None = None
-
-
-@dataclass(slots=True)
-class PartialRequest:
-    """A request that has not arrived whole yet."""
-
-    connection: h11.Connection
-    head: h11.Request | None = None
-    body: list[bytes] = field(default_factory=list)
-    size: int = 0
-    has_bytes: bool = False
-
-
-def status_of(answer: AnswerCall) -> int:
-    """Return the HTTP status of an answer that carries no server's response."""
-    if answer.verdict is Verdict.NOT_RUN:
-        return STATUS_BY_REASON.get(answer.reason, 503)
-    return 504 if answer.reason in ("timeout", "deadline") else 502
-
 
 class Callers:
     """Open connections and requests of callers.
@@ -237,7 +204,7 @@
         dialect, head = self._callers.dialect, partial.head
         pairs = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers.raw_items()]
         value_by_name = {name.lower(): value for name, value in pairs}
-        fields = [p for p in end_to_end(pairs) if p[0].lower() not in _framing(dialect)]
+        fields = [p for p in end_to_end(pairs) if p[0].lower() not in framing_names(dialect)]
         request_id = value_by_name.get(dialect.request_id.lower(), "")
         if dialect.request_id.lower().startswith("pollenroad-") and request_id:
             fields.append((dialect.request_id, request_id))
@@ -253,7 +220,7 @@
                 headers=tuple(fields),
                 body=b"".join(partial.body),
             ),
-            deadline_s=_deadline_s(value_by_name.get(dialect.deadline_ms.lower(), "")),
+            deadline_s=deadline_s(value_by_name.get(dialect.deadline_ms.lower(), "")),
         )
         if self._callers.is_refusing:
             self.take(AnswerCall(exchange.call_id, Verdict.NOT_RUN, "leaving", retry_after_ms=100))
@@ -308,7 +275,7 @@
             exchange = self._exchanges[0]
             is_last = len(self._exchanges) == 1
             closes = is_last and (self._callers.is_closing or self._is_over)
-            data, ends = _answer_bytes(exchange, closes)
+            data, ends = answer_bytes(exchange, closes)
             with gevent.Timeout(WRITE_TIMEOUT_S):
                 self._sock.sendall(data)
             if self._exchanges and self._exchanges[0] is exchange:
@@ -333,39 +300,6 @@
             return  # The caller has closed the connection already.
 
 
-def _framing(dialect: Dialect) -> frozenset[str]:
-    return dialect.set_here | {"content-length", "expect"}
-
-
-def _deadline_s(text: str) -> float:
-    try:
-        deadline_s = float(text) / 1000
-    except ValueError:
-        return DEFAULT_DEADLINE_S
-    return deadline_s if 0 < deadline_s < float("inf") else DEFAULT_DEADLINE_S
-
-
-def _answer_bytes(exchange: Exchange, closes: bool) -> tuple[bytes, bool]:
-    """Return the bytes of an answer, and whether the connection ends behind it."""
-    answer = exchange.answer
-    fields = [("Connection", "close")] if closes else []
-    if answer.response is not None:
-        status, body = answer.response.status, answer.response.body
-        fields += answer.response.headers
-    else:
-        status, body = status_of(answer), f"{answer.reason}\n".encode()
-        fields.append(("Content-Type", "text/plain"))
-        if answer.retry_after_ms:
-            fields.append(("Retry-After", f"{answer.retry_after_ms / 1000:.3f}"))
-    fields.append(("Content-Length", str(len(body))))
-    connection = exchange.connection
-    if connection.our_state is h11.IDLE or connection.our_state is h11.SEND_RESPONSE:
-        data = connection.send(h11.Response(status_code=status, headers=fields))
-        data += connection.send(h11.Data(data=body)) + connection.send(h11.EndOfMessage())
-        return data, closes or connection.our_state is h11.MUST_CLOSE
-    raise h11.LocalProtocolError("no answer can be sent after a malformed request")
-
-
 def make_caller_server(address: str, callers: Callers) -> StreamServer:
     """Make the server of callers at `address`, not yet started."""
     return StreamServer(split_address(address), callers.serve, backlog=BACKLOG)
--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -1,13 +1,12 @@
-"""Open requests and attempts of an entry, and the records of their ends. No I/O."""
+"""Open requests and attempts of an entry. No I/O."""
 
 from dataclasses import dataclass, field
 
-from pollenroad.boundary import Record
 from pollenroad.messages import Response
 from pollenroad.proxy.boundary import RequestArrived
 from pollenroad.proxy.fleet import EndpointView
 from pollenroad.published import Route
-from pollenroad.verdicts import Verdict
+from pollenroad.verdicts import Verdict, may_retry
 
 RETRY_AFTER_S = 0.3
 """Advice to callers where no guard gives any, in seconds."""
@@ -34,6 +33,20 @@
     """A server's own failure, kept while another server is tried."""
     retry_after_s: float = RETRY_AFTER_S
 
+    def may_send_again(self, verdict: Verdict, work_s: float, now: float) -> bool:
+        """Tell whether the request may go to another server after one has had it.
+
+        Args:
+            verdict: What is known of the attempt that ended last.
+            work_s: Usual work of such a request, in seconds.
+            now: Monotonic time in seconds.
+        """
+        if self.sends >= self.route.max_attempts:
+            return False
+        if self.route.idempotent:
+            return now + work_s / 2 < self.ends
+        return may_retry(verdict, False) and not self.maybe_ran
+
 
 @dataclass(frozen=True, slots=True)
 class OpenAttempt:
@@ -42,56 +55,3 @@
     call_id: str
     view: EndpointView
     sent_at: float
-
-
-def age_ms(age_s: float) -> int | None:
-    """Return an age in milliseconds for a record, or None where nothing was ever heard."""
-    return None if age_s == float("inf") else round(age_s * 1000)
-
-
-def request_refused(arrived: RequestArrived, reason: str) -> Record:
-    """Return the record of a request that is not taken."""
-    fields = (
-        ("request_id", arrived.request_id),
-        ("host", arrived.host),
-        ("path", arrived.request.path[:64]),
-        ("reason", reason),
-    )
-    return Record("request_refused", fields)
-
-
-def attempt_ended(
-    call: OpenCall,
-    attempt_id: str,
-    attempt: OpenAttempt,
-    verdict: Verdict,
-    reason: str,
-    now: float,
-) -> Record:
-    """Return the record of an attempt's end."""
-    fields = (
-        ("request_id", call.arrived.request_id),
-        ("attempt_id", attempt_id),
-        ("endpoint", attempt.view.endpoint.incarnation),
-        ("verdict", verdict.value),
-        ("reason", reason),
-        ("ms", round((now - attempt.sent_at) * 1000, 1)),
-    )
-    return Record("attempt_ended", fields)
-
-
-def call_answered(
-    call: OpenCall, verdict: Verdict, reason: str, endpoint: str, now: float
-) -> Record:
-    """Return the record of a request's answer."""
-    fields = (
-        ("request_id", call.arrived.request_id),
-        ("route", call.route.name),
-        ("service", call.service),
-        ("endpoint", endpoint),
-        ("verdict", verdict.value),
-        ("reason", reason),
-        ("attempts", call.sends),
-        ("ms", round((now - call.started) * 1000, 1)),
-    )
-    return Record("call_answered", fields)
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -19,47 +19,33 @@
     SendPeer,
     Tick,
 )
-from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport, Response
+from pollenroad.messages import AttemptAnswer, CancelAttempt, LoadReport, Response
+from pollenroad.proxy.answers import is_success
 from pollenroad.proxy.boundary import Event, LoadHeard, RequestArrived
 from pollenroad.proxy.budgets import BudgetRules, Budgets
-from pollenroad.proxy.calls import (
-    RETRY_AFTER_S,
-    OpenAttempt,
-    OpenCall,
-    age_ms,
-    attempt_ended,
-    call_answered,
-    request_refused,
-)
+from pollenroad.proxy.calls import RETRY_AFTER_S, OpenAttempt, OpenCall
+from pollenroad.proxy.choosing import Choice
 from pollenroad.proxy.directory import Directory
-from pollenroad.proxy.fleet import EndpointView, Work, make_fleet
+from pollenroad.proxy.fleet import EndpointView
 from pollenroad.proxy.guard import FULL, SLOW
+from pollenroad.proxy.records import attempt_ended, attempt_sent, call_answered, request_refused
 from pollenroad.proxy.routes import Splitter
-from pollenroad.proxy.routetimes import RouteTimes
+from pollenroad.proxy.starting import SLOW_FACTOR
 from pollenroad.timers import Timers
-from pollenroad.verdicts import Verdict, may_retry
+from pollenroad.verdicts import Verdict
 
 HAND_BACKS = frozenset({SLOW, FULL})
 """Refusals by which a guard tells the entry what it did not know yet."""
 
-SERVER_ERROR = 500
-"""Lowest HTTP status that counts as a failure of the server."""
-
 HOLD_SHARE = 0.11
 """Share of the latency objective for which a request waits for an endpoint to become available."""
 
 HOLD_STEP_S = 0.04
 """Time between two looks for an endpoint, in seconds."""
 
-MAX_HAND_BACKS = 2
-"""Times that a guard may hand a request back because its server is slower than the entry knew."""
-
 MAX_REFUSALS = 6
 """Refusals by guards after which a request is given up, so that it does not circle."""
 
-SLOW_FACTOR = 2.5
-"""Slowdown of a server from which its open attempts are looked at early."""
-
 SLOW_LOOK_S = 0.01
 """Time until that look, in seconds: the answer may be under way."""
 
@@ -70,9 +56,6 @@
 """Time before its caller's deadline at which a request is answered, in seconds, so that the answer
 is there before the caller gives up: the way there and back, of 8 ms each, and some delay."""
 
-ANSWER_MARGIN_S = 0.015
-"""Time kept for the way of the answer out of what a server may use, in seconds."""
-
 
 class Entry:
     """State of one entry: open requests, their attempts, and what is known of endpoints."""
@@ -85,24 +68,24 @@
         rules: BudgetRules,
         rng: random.Random,
     ):
-        self.caller = ""
-        """Service of the server on this VM, where the requests begin."""
-        self.fleet = make_fleet(failure_domain, rng)
-        self._incarnation = incarnation
+        self._choice = Choice(incarnation, failure_domain, directory, rng)
+        self.fleet = self._choice.fleet
         self._directory = directory
         self._budgets = Budgets(rules, directory)
         self._splitter = Splitter()
         self._call_by_id: dict[str, OpenCall] = {}
         self._attempt_by_id: dict[str, OpenAttempt] = {}
-        self._attempt_count = 0
         self._timers = Timers()
-        self._times = RouteTimes()
 
     @property
     def open_calls(self) -> int:
         """Requests without an answer yet."""
         return len(self._call_by_id)
 
+    def serve_as(self, caller: str) -> None:
+        """Take the service on this VM, by which servers are told where a request began."""
+        self._choice.caller = caller
+
     def next_due(self) -> float | None:
         """Return when `Tick` is next needed, in monotonic seconds."""
         return self._timers.next_due()
@@ -148,27 +131,18 @@
         yield from self._send(call, "first", now)
 
     def _send(self, call: OpenCall, role: str, now: float) -> Iterator[Action]:
-        chosen = self._choose(call, now)
+        chosen = self._choice.choose(call, now)
         if chosen is None:
             yield from self._hold(call, now)
             return
         view, cost_s = chosen
         yield from self._send_to(call, view, cost_s, role, now)
 
-    def _choose(self, call: OpenCall, now: float) -> tuple[EndpointView, float] | None:
-        directory = self._directory
-        candidates = (
-            (endpoint, directory.is_doubtful(endpoint.incarnation))
-            for endpoint in directory.endpoints(call.service)
-        )
-        work = Work(self._times.work_s(call.route), call.route.objective_s)
-        return self.fleet.choose(candidates, call.tried, work, now)
-
     def _send_to(
         self, call: OpenCall, view: EndpointView, cost_s: float, role: str, now: float
     ) -> Iterator[Action]:
-        self._attempt_count += 1
-        attempt_id = f"{self._incarnation}-{self._attempt_count}"
+        message = self._choice.attempt(call, view, now)
+        attempt_id = message.attempt_id
         self._attempt_by_id[attempt_id] = OpenAttempt(call.arrived.call_id, view, now)
         call.open_attempt_ids.add(attempt_id)
         call.tried.add(view.endpoint.incarnation)
@@ -176,44 +150,9 @@
         view.own_open += 1
         view.sent_since_report += 1
         self._look_later(call, view, now)
-        fields = (
-            ("request_id", call.arrived.request_id),
-            ("attempt_id", attempt_id),
-            ("endpoint", view.endpoint.incarnation),
-            ("why", role),
-            ("cost_ms", round(cost_s * 1000)),
-            ("in_flight", view.in_flight()),
-            ("slowdown", round(view.current_slowdown(now), 2)),
-            ("report_age_ms", age_ms(now - view.reported_at)),
-            ("config_version", self._directory.configuration.version),
-            ("revision", self._directory.revision),
-        )
-        yield Record("attempt_sent", fields)
-        yield SendPeer(view.endpoint.guard, self._attempt(call, view, attempt_id, now))
-
-    def _attempt(self, call: OpenCall, view: EndpointView, attempt_id: str, now: float) -> Attempt:
-        route = call.route
-        is_last = call.hand_backs >= MAX_HAND_BACKS
-        return Attempt(
-            attempt_id=attempt_id,
-            request_id=call.arrived.request_id,
-            service=call.service,
-            customer="",
-            request_class=route.name,
-            idempotent=route.idempotent,
-            remaining_ms=(call.ends - now - ANSWER_MARGIN_S) * 1000,
-            request=call.arrived.request,
-            number=call.sends,
-            config_version=self._directory.configuration.version,
-            sent_ms=now * 1000,
-            incarnation=view.endpoint.incarnation,
-            caller=self.caller,
-            objective_ms=max(0.0, call.started + route.objective_s - now) * 1000,
-            priority=route.priority,
-            assumed_load=view.in_flight(),
-            usual_ms=self._times.work_s(route) * 1000,
-            assumed_slowdown=0.0 if is_last else max(1.0, view.current_slowdown(now)),
-        )
+        revision = self._directory.revision
+        yield attempt_sent(call.arrived, message, view, role, cost_s, revision, now)
+        yield SendPeer(view.endpoint.guard, message)
 
     def _hold(self, call: OpenCall, now: float) -> Iterator[Action]:
         """Wait a little for an endpoint, or give the request up."""
@@ -263,14 +202,13 @@
     def _on_ran(
         self, call: OpenCall, attempt: OpenAttempt, answer: AttemptAnswer, now: float
     ) -> Iterator[Action]:
-        response = answer.response
-        if response.status < SERVER_ERROR:
+        if is_success(answer):
             attempt.view.succeeded(now)
-            self._times.add(call.route, now - attempt.sent_at, answer.work_ms / 1000)
-            yield from self._finish(call, Verdict.RAN, "", now, response, attempt.view)
+            self._choice.times.add(call.route, now - attempt.sent_at, answer.work_ms / 1000)
+            yield from self._finish(call, Verdict.RAN, "", now, answer.response, attempt.view)
             return
         attempt.view.failed(now)
-        call.failure = response
+        call.failure = answer.response
         yield from self._again_or_finish(call, Verdict.RAN, "server-error", now)
 
     def _on_unknown(self, call: OpenCall, reason: str, now: float) -> Iterator[Action]:
@@ -302,20 +240,13 @@
         """Send a request again after a server has had it, if that is allowed."""
         if call.open_attempt_ids:
             return
-        if self._may_send_again(call, verdict, now):
-            chosen = self._choose(call, now)
+        if call.may_send_again(verdict, self._choice.times.work_s(call.route), now):
+            chosen = self._choice.choose(call, now)
             if chosen is not None and self._budgets.of(call.service, now).spend(now):
                 yield from self._send_to(call, *chosen, "retry", now)
                 return
         yield from self._finish(call, verdict, reason, now)
 
-    def _may_send_again(self, call: OpenCall, verdict: Verdict, now: float) -> bool:
-        if call.sends >= call.route.max_attempts:
-            return False
-        if call.route.idempotent:
-            return now + self._times.work_s(call.route) / 2 < call.ends
-        return may_retry(verdict, False) and not call.maybe_ran
-
     def _on_unsent(self, attempt_id: str, now: float) -> Iterator[Action]:
         closed = self._close_attempt(attempt_id, now)
         if closed is None:
@@ -396,30 +327,22 @@
     def _look_later(self, call: OpenCall, view: EndpointView, now: float) -> None:
         if not call.route.idempotent or call.sends >= call.route.max_attempts:
             return
-        due = now + self._times.late_s(call.route)
+        due = now + self._choice.times.late_s(call.route)
         self._timers.set(("look", call.arrived.call_id), due)
 
     def _hedge(self, call: OpenCall, now: float) -> Iterator[Action]:
         """Send a late idempotent request to a second endpoint, if that one will be quicker."""
         if len(call.open_attempt_ids) != 1 or call.sends >= call.route.max_attempts:
             return
-        chosen = self._choose(call, now)
-        is_better = chosen is not None and self._is_quicker(call, chosen[1], now)
+        chosen = self._choice.choose(call, now)
+        (attempt_id,) = call.open_attempt_ids
+        attempt = self._attempt_by_id[attempt_id]
+        is_better = chosen is not None and self._choice.is_quicker(call, attempt, chosen[1], now)
         if is_better and self._budgets.of(call.service, now).spend(now):
             yield from self._send_to(call, *chosen, "hedge", now)
             return
         self._timers.set(("look", call.arrived.call_id), now + LOOK_AGAIN_S)
 
-    def _is_quicker(self, call: OpenCall, cost_s: float, now: float) -> bool:
-        """Tell whether an endpoint of this cost is likely to answer before the open attempt."""
-        (attempt_id,) = call.open_attempt_ids
-        attempt = self._attempt_by_id[attempt_id]
-        if now + cost_s > call.ends:
-            return False
-        work_s = self._times.work_s(call.route)
-        left_s = max(work_s / 2, work_s - (now - attempt.sent_at))
-        return cost_s <= left_s * max(SLOW_FACTOR, attempt.view.current_slowdown(now))
-
     def _on_load(self, host: str, report: LoadReport, now: float) -> Iterator[Action]:
         view = self.fleet.get(report.endpoint)
         was_slow = view is not None and view.current_slowdown(now) >= SLOW_FACTOR
--- /dev/null
+++ b/src/pollenroad/proxy/exchanges.py
@@ -0,0 +1,83 @@
+"""Requests of one connection of a caller, and the bytes of their answers. No I/O."""
+
+from dataclasses import dataclass, field
+
+import h11
+
+from pollenroad.boundary import AnswerCall
+from pollenroad.proxy.dialect import Dialect
+from pollenroad.verdicts import Verdict
+
+DEFAULT_DEADLINE_S = 60.0
+"""Deadline of a request that states none, in seconds."""
+
+STATUS_BY_REASON = {
+    "no-route": 404,
+    "body-too-large": 413,
+    "malformed": 400,
+    "header-timeout": 408,
+}
+"""Status of a refusal by reason; 503 for others."""
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A request of a connection, and its answer once there is one."""
+
+    call_id: str
+    connection: h11.Connection
+    request_id: str
+    answer: AnswerCall | None = None
+
+
+@dataclass(slots=True)
+class PartialRequest:
+    """A request that has not arrived whole yet."""
+
+    connection: h11.Connection
+    head: h11.Request | None = None
+    body: list[bytes] = field(default_factory=list)
+    size: int = 0
+    has_bytes: bool = False
+
+
+def status_of(answer: AnswerCall) -> int:
+    """Return the HTTP status of an answer that carries no server's response."""
+    if answer.verdict is Verdict.NOT_RUN:
+        return STATUS_BY_REASON.get(answer.reason, 503)
+    return 504 if answer.reason in ("timeout", "deadline") else 502
+
+
+def framing_names(dialect: Dialect) -> frozenset[str]:
+    """Return the names in lower case of fields that are not forwarded as they came."""
+    return dialect.set_here | {"content-length", "expect"}
+
+
+def deadline_s(text: str) -> float:
+    """Return a stated deadline in seconds, or the default where it states none."""
+    try:
+        stated_s = float(text) / 1000
+    except ValueError:
+        return DEFAULT_DEADLINE_S
+    return stated_s if 0 < stated_s < float("inf") else DEFAULT_DEADLINE_S
+
+
+def answer_bytes(exchange: Exchange, closes: bool) -> tuple[bytes, bool]:
+    """Return the bytes of an answer, and whether the connection ends behind it."""
+    answer = exchange.answer
+    fields = [("Connection", "close")] if closes else []
+    if answer.response is not None:
+        status, body = answer.response.status, answer.response.body
+        fields += answer.response.headers
+    else:
+        status, body = status_of(answer), f"{answer.reason}\n".encode()
+        fields.append(("Content-Type", "text/plain"))
+        if answer.retry_after_ms:
+            fields.append(("Retry-After", f"{answer.retry_after_ms / 1000:.3f}"))
+    fields.append(("Content-Length", str(len(body))))
+    connection = exchange.connection
+    if connection.our_state is h11.IDLE or connection.our_state is h11.SEND_RESPONSE:
+        data = connection.send(h11.Response(status_code=status, headers=fields))
+        data += connection.send(h11.Data(data=body)) + connection.send(h11.EndOfMessage())
+        return data, closes or connection.our_state is h11.MUST_CLOSE
+    raise h11.LocalProtocolError("no answer can be sent after a malformed request")
--- a/src/pollenroad/proxy/health.py
+++ b/src/pollenroad/proxy/health.py
@@ -60,6 +60,12 @@
         """Tell whether the server has said that it is cold."""
         return self.pace.is_cold(now)
 
+    def state(self, now: float) -> str:
+        """Return the state for load reports of a server that takes work."""
+        if self.is_down:
+            return "down"
+        return "cold" if self.is_cold(now) else "serving"
+
     def is_warm(self, now: float) -> bool:
         """Tell whether the server's own word that it is warm is fresh enough to go by."""
         is_fresh = now - self._checked_at < WARM_S
--- /dev/null
+++ b/src/pollenroad/proxy/records.py
@@ -0,0 +1,148 @@
+"""The records by which entry and guard tell what they decided, from what, and how old that was."""
+
+from pollenroad.boundary import Record
+from pollenroad.guard.admission import Waiting
+from pollenroad.guard.atserver import Running
+from pollenroad.messages import Attempt, AttemptAnswer, LoadReport
+from pollenroad.proxy.boundary import RequestArrived
+from pollenroad.proxy.calls import OpenAttempt, OpenCall
+from pollenroad.proxy.fleet import EndpointView
+from pollenroad.proxy.health import ServerHealth
+from pollenroad.verdicts import Verdict
+
+
+def age_ms(age_s: float) -> int | None:
+    """Return an age in milliseconds for a record, or None where nothing was ever heard."""
+    return None if age_s == float("inf") else round(age_s * 1000)
+
+
+def request_refused(arrived: RequestArrived, reason: str) -> Record:
+    """Return the record of a request that is not taken."""
+    fields = (
+        ("request_id", arrived.request_id),
+        ("host", arrived.host),
+        ("path", arrived.request.path[:64]),
+        ("reason", reason),
+    )
+    return Record("request_refused", fields)
+
+
+def attempt_sent(
+    arrived: RequestArrived,
+    attempt: Attempt,
+    view: EndpointView,
+    role: str,
+    cost_s: float,
+    revision: int,
+    now: float,
+) -> Record:
+    """Return the record of an attempt that an entry sends."""
+    fields = (
+        ("request_id", arrived.request_id),
+        ("attempt_id", attempt.attempt_id),
+        ("endpoint", view.endpoint.incarnation),
+        ("why", role),
+        ("cost_ms", round(cost_s * 1000)),
+        ("in_flight", view.in_flight()),
+        ("slowdown", round(view.current_slowdown(now), 2)),
+        ("report_age_ms", age_ms(now - view.reported_at)),
+        ("config_version", attempt.config_version),
+        ("revision", revision),
+    )
+    return Record("attempt_sent", fields)
+
+
+def attempt_ended(
+    call: OpenCall,
+    attempt_id: str,
+    attempt: OpenAttempt,
+    verdict: Verdict,
+    reason: str,
+    now: float,
+) -> Record:
+    """Return the record of an attempt's end."""
+    fields = (
+        ("request_id", call.arrived.request_id),
+        ("attempt_id", attempt_id),
+        ("endpoint", attempt.view.endpoint.incarnation),
+        ("verdict", verdict.value),
+        ("reason", reason),
+        ("ms", round((now - attempt.sent_at) * 1000, 1)),
+    )
+    return Record("attempt_ended", fields)
+
+
+def call_answered(
+    call: OpenCall, verdict: Verdict, reason: str, endpoint: str, now: float
+) -> Record:
+    """Return the record of a request's answer."""
+    fields = (
+        ("request_id", call.arrived.request_id),
+        ("route", call.route.name),
+        ("service", call.service),
+        ("endpoint", endpoint),
+        ("verdict", verdict.value),
+        ("reason", reason),
+        ("attempts", call.sends),
+        ("ms", round((now - call.started) * 1000, 1)),
+    )
+    return Record("call_answered", fields)
+
+
+def attempt_refused(
+    waiting: Waiting, reason: str, load: LoadReport, health: ServerHealth, revision: int, now: float
+) -> Record:
+    """Return the record of an attempt that a guard refuses."""
+    fields = (
+        ("request_id", waiting.attempt.request_id),
+        ("attempt_id", waiting.attempt.attempt_id),
+        ("reason", reason),
+        ("waited_ms", round((now - waiting.arrived) * 1000)),
+        ("in_flight", load.in_flight),
+        ("queued", load.queued),
+        ("slowdown", round(health.slowdown, 2)),
+        ("seen_age_ms", age_ms(health.age_s(now))),
+        ("revision", revision),
+    )
+    return Record("attempt_refused", fields)
+
+
+def attempt_started(waiting: Waiting, in_flight: int, health: ServerHealth, now: float) -> Record:
+    """Return the record of an attempt that is handed to the server."""
+    fields = (
+        ("request_id", waiting.attempt.request_id),
+        ("attempt_id", waiting.attempt.attempt_id),
+        ("waited_ms", round((now - waiting.arrived) * 1000)),
+        ("remaining_ms", round((waiting.deadline - now) * 1000)),
+        ("in_flight", in_flight),
+        ("slowdown", round(health.slowdown, 2)),
+        ("seen_age_ms", age_ms(health.age_s(now))),
+        ("cold", health.is_cold(now)),
+    )
+    return Record("attempt_started", fields)
+
+
+def attempt_done(running: Running, answer: AttemptAnswer, now: float) -> Record:
+    """Return the record of an attempt that left the server."""
+    fields = (
+        ("request_id", running.waiting.attempt.request_id),
+        ("attempt_id", answer.attempt_id),
+        ("verdict", answer.verdict),
+        ("reason", answer.reason),
+        ("status", answer.response.status if answer.response else 0),
+        ("ms", round((now - running.started) * 1000, 1)),
+        ("wanted", running.is_wanted),
+    )
+    return Record("attempt_done", fields)
+
+
+def guard_state(report: LoadReport, before: str, reason: str, revision: int) -> Record:
+    """Return the record of a guard that takes work on other terms from now on."""
+    fields = (
+        ("state", report.state),
+        ("before", before),
+        ("reason", reason),
+        ("endpoint", report.endpoint),
+        ("revision", revision),
+    )
+    return Record("guard_state", fields)
--- a/src/pollenroad/proxy/telling.py
+++ b/src/pollenroad/proxy/telling.py
@@ -1,8 +1,14 @@
 """When a guard tells entries its load outside of answers. No I/O."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
+from pollenroad.addresses import host_of
 from pollenroad.messages import LoadReport
+from pollenroad.published import RegisteredEndpoint
+
+SMALL_FLEET = 16
+"""Entries up to which all are told, not only those that sent attempts."""
 
 SUBSCRIBED_S = 10.0
 """Time since its last attempt for which an entry is told, in seconds."""
@@ -39,8 +45,11 @@
         if len(self._last_attempt_by_host) > MAX_SUBSCRIBERS:
             self._last_attempt_by_host.popitem(last=False)
 
-    def hosts(self, now: float) -> tuple[str, ...]:
-        """Return the hosts of the entries to tell."""
+    def hosts(self, endpoints: Iterable[RegisteredEndpoint], now: float) -> tuple[str, ...]:
+        """Return the hosts of the entries to tell, of those beside known endpoints."""
+        known = {host_of(endpoint.guard) for endpoint in endpoints}
+        if len(known) <= SMALL_FLEET:
+            return tuple(sorted(known))
         since = now - SUBSCRIBED_S
         return tuple(host for host, at in self._last_attempt_by_host.items() if at >= since)
 
--- a/tests/proxy/test_proxy_entry.py
+++ b/tests/proxy/test_proxy_entry.py
@@ -5,8 +5,10 @@
 from pollenroad.boundary import AttemptUnsent, CallAbandoned, PeerLost, PeerReceived, SendPeer, Tick
 from pollenroad.messages import AttemptAnswer, CancelAttempt
 from pollenroad.proxy.boundary import DirectoryChanged, LoadHeard
+from pollenroad.proxy.budgets import BudgetRules
+from pollenroad.proxy.choosing import MAX_HAND_BACKS
 from pollenroad.proxy.directory import make_directory
-from pollenroad.proxy.entry import HOLD_SHARE, MAX_HAND_BACKS, BudgetRules, Entry
+from pollenroad.proxy.entry import HOLD_SHARE, Entry
 from pollenroad.proxy.guard import SLOW
 from pollenroad.verdicts import Verdict
 from tests.proxy.samples import (
--- a/tests/proxy/test_proxy_guard.py
+++ b/tests/proxy/test_proxy_guard.py
@@ -88,7 +88,7 @@
 
     def test_an_unregistered_server_gets_nothing(self):
         guard = guard_with(endpoint(1))
-        guard.server = "127.0.0.1:9999"
+        guard.local.address = "127.0.0.1:9999"
         self.assertEqual(self._reason(guard), "not-here")
 
     def test_a_stopping_daemon_takes_nothing_new_and_finishes_the_rest(self):
