Bench noise: the proxy's cores against choices once, in virtual time

Ruled out: real processes, whose timing would blur what a few milliseconds of staleness cost. The figures follow from the seed alone, which a test checks.

--- a/src/pollenroad/commands/bench.py
+++ b/src/pollenroad/commands/bench.py
@@ -17,6 +17,7 @@
     "membership",
     "faults",
     "capacity",
+    "noise",
 )
 
 
@@ -25,7 +26,7 @@
 
     Args:
         name: added-latency, peer-link, tail, overload, failure-domain, measuring, limits, config,
-            membership, faults or capacity.
+            membership, faults, capacity or noise.
         json: Print the result as one JSON object on the last line.
         seed: Seed of the load and of the faults.
         out: File that also gets the JSON, for `pollenroad report`.
--- /dev/null
+++ b/tests/test_bench_noise.py
@@ -0,0 +1,15 @@
+"""The bench of choices under noise: its figures follow from the seed alone."""
+
+import unittest
+from unittest import mock
+
+from pollenroad.bench import noise
+
+
+class NoiseTest(unittest.TestCase):
+    def test_a_plan_is_played_alike_twice_and_nothing_is_lost(self):
+        with mock.patch.object(noise, "SECONDS", 8.0):
+            first, second = noise.run(seed=3), noise.run(seed=3)
+        self.assertEqual(first, second)
+        self.assertEqual(len(set(first["requests"].values())), 1)
+        self.assertGreater(first["share_in_objective"]["proxy"], 0.95)
