--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -8,6 +8,9 @@
 from pollenroad.published import Route
 from pollenroad.verdicts import Verdict, may_retry
 
+PEER_LOST = "peer-lost"
+"""Reason where the link to the guard broke while it had the attempt."""
+
 SLOW = "slow"
 """Reason of refusals where the server is slower than the entry assumed."""
 
--- a/src/pollenroad/proxy/crowding.py
+++ b/src/pollenroad/proxy/crowding.py
@@ -13,13 +13,10 @@
 """Exchanges above that share from which a server is judged: their median seldom misleads, also
 where the work of single requests differs by a third."""
 
-TRIALS_AT_ONCE = 2
-"""Trials at the server at the most, while it is not judged."""
-
 SLOWED_RATIO = 1.3
 """Median of their work, as a multiple of the usual, from which the server is taken to be slowed."""
 
-JUDGED_S = 10.0
+JUDGED_S = 30.0
 """Time after which it is tried anew, in seconds."""
 
 
@@ -36,14 +33,14 @@
         return slots if self._is_slowed is False else calm_slots(slots)
 
     def may_try(self, crowded: int, now: float) -> bool:
-        """Tell whether one more may be started as a trial.
+        """Tell whether one more may be started as a trial; one at a time, since it may be slowed.
 
         Args:
             crowded: Requests at the server that were started above the calm share.
             now: Monotonic time in seconds.
         """
         is_known = self._is_slowed is not None and now - self._judged_at < JUDGED_S
-        return not is_known and crowded < TRIALS_AT_ONCE
+        return not is_known and crowded == 0
 
     def add(self, ratio: float, now: float) -> None:
         """Take the work of a request that started above the calm share, as a multiple of usual."""
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -23,7 +23,7 @@
 from pollenroad.proxy.answers import is_success
 from pollenroad.proxy.boundary import DirectoryRead, Event, LoadHeard, RequestArrived
 from pollenroad.proxy.budgets import BudgetRules, Budgets
-from pollenroad.proxy.calls import RETRY_AFTER_S, OpenAttempt, OpenCall, open_call
+from pollenroad.proxy.calls import PEER_LOST, RETRY_AFTER_S, OpenAttempt, OpenCall, open_call
 from pollenroad.proxy.choosing import Choice
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.fleet import EndpointView
@@ -188,7 +188,8 @@
             case Verdict.RAN:
                 yield from self._on_ran(call, attempt, answer, now)
             case Verdict.UNKNOWN:
-                attempt.view.failed(now)
+                if answer.reason != PEER_LOST:  # That tells of the daemon, not of the server.
+                    attempt.view.failed(now)
                 yield from self._on_unknown(call, answer.reason, now)
             case Verdict.NOT_RUN:
                 if answer.retry_after_ms:
@@ -256,7 +257,7 @@
             view.unreachable(now)
         lost = [i for i, a in self._attempt_by_id.items() if a.view.endpoint.guard == peer]
         for attempt_id in lost:
-            yield from self._on_answer(AttemptAnswer(attempt_id, "unknown", "peer-lost"), now)
+            yield from self._on_answer(AttemptAnswer(attempt_id, "unknown", PEER_LOST), now)
 
     # --- Ends of requests ---
 
