--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -159,8 +159,7 @@
         until = call.started + HOLD_SHARE * call.route.objective_s
         if now < until and call.refusals < MAX_REFUSALS:
             call.tried.clear()
-            due = min(now + HOLD_STEP_S, until)
-            self._timers.set(("hold", call.arrived.call_id), due)
+            self._timers.set(("hold", call.arrived.call_id), min(now + HOLD_STEP_S, until))
             return
         yield from self._finish(call, Verdict.NOT_RUN, "no-endpoint", now)
 
