Log why a link between daemons ended, on both ends

Cause: the accepting daemon logged nothing of a link that broke, and the dialling one not the error. Ruled out: a line for each frame. Measured: tests of the users' path and walks, green.

--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -55,6 +55,9 @@
     CatalogueEntry(403, "notice_unsent", logging.INFO, "A load report could not be sent."),
     CatalogueEntry(404, "notice_refused", logging.WARNING, "A malformed datagram arrived."),
     CatalogueEntry(405, "operator_connection_lost", logging.INFO, "An operator's link broke."),
+    CatalogueEntry(
+        406, "entry_lost", logging.INFO, "A link broke by which an entry sent attempts."
+    ),
     CatalogueEntry(500, "document_in_force", logging.INFO, "A newer document came into force."),
     CatalogueEntry(501, "document_refused", logging.WARNING, "A document was refused, and why."),
     CatalogueEntry(503, "document_conflict", logging.ERROR, "One version has two contents."),
--- a/src/pollenroad/shell/peers.py
+++ b/src/pollenroad/shell/peers.py
@@ -89,6 +89,8 @@
 
     def __init__(self, sock, stream, hello: Hello, on_closed: Callable, meter: CostMeter):
         self.peer = hello.address
+        self.end_reason = "closed"
+        """Why the link ended, for the log."""
         self._compresses = hello.protocol >= COMPRESSED_PROTOCOL
         self._meter = meter
         self._sock = sock
@@ -142,7 +144,8 @@
                 else:
                     self._wake.clear()
                     self._wake.wait()
-        except OSError:
+        except OSError as error:
+            self.end_reason = str(error)
             self.close()
 
     def _write_next(self) -> None:
@@ -159,8 +162,8 @@
                 on_message(self._decode(body))
         except PeerError as error:
             log("peer_refused", peer=self.peer, reason=str(error))
-        except OSError:
-            pass
+        except OSError as error:
+            self.end_reason = str(error)
         finally:
             self.close()
 
@@ -292,7 +295,7 @@
     def _on_dialled_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._dialled_by_peer.get(link.peer) is link:
             del self._dialled_by_peer[link.peer]
-        log("peer_lost", peer=link.peer, reason="closed")
+        log("peer_lost", peer=link.peer, reason=link.end_reason)
         self._report_unsent(unsent)
         self._post(PeerLost(link.peer))
 
@@ -339,4 +342,5 @@
     def _on_accepted_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._accepted_by_peer.get(link.peer) is link:
             del self._accepted_by_peer[link.peer]
+            log("entry_lost", peer=link.peer, reason=link.end_reason)
             self._on_entry_lost(link.peer)
