End the doubt about an ended registration 2.2 s after the platform's return

Daemons whose failure domain had been cut off took a registration that ended 1.8 s after they had regained the directory for a lease that ran out, and kept it 2.2 s from then on. Change: doubt lasts until 2.2 s after the return, by which living servers are back. Test: failing before.

--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -23,16 +23,15 @@
 """Time after the platform's return in which living servers register again, in seconds: the two
 seconds that the platform states, and a margin for the way of the news."""
 
-DISTURBED_S = 3.0
-"""Time after a failed read for which an ended registration may be a lease that ran out, in
-seconds: the platform counts as stable again after this time."""
+LAPSE_WINDOW_S = 3.0
+"""Time within which leases run out that servers could not renew at the same time, in seconds."""
 
 MASS_RETURN_S = 1.5
 """The same where only the number of ended registrations hints at a lapse, in seconds: below the
 two seconds in which a leaving endpoint must get no more work."""
 
 MASS_SHARE = 0.34
-"""Share of a service's registrations that must end within `DISTURBED_S` to be taken as lapsed."""
+"""Share of the registrations that must end within `LAPSE_WINDOW_S` to be taken as lapsed."""
 
 MASS_MIN = 3
 """Registrations that must end together, at the least, to be taken as lapsed."""
@@ -240,7 +239,9 @@
             wait_s = self._lapse_s(name, now)
             if wait_s:
                 self._doubtful_until.setdefault(name, now + wait_s)
-                yield Record("endpoint_doubtful", (("endpoint", name), ("wait_s", wait_s)))
+                yield Record(
+                    "endpoint_doubtful", (("endpoint", name), ("wait_s", round(wait_s, 3)))
+                )
             else:
                 yield self._drop(name, "registration ended", now)
 
@@ -248,9 +249,11 @@
         """Return how long to wait for an endpoint whose registration ended, in seconds."""
         if self._endpoint_by_incarnation[name].is_leaving:
             return 0.0
-        if now - self._lost_at < DISTURBED_S or self._is_lost:
+        if self._is_lost:
             return RETURN_S
-        recent = [n for n, at in self._removed_at.items() if now - at < DISTURBED_S]
+        if now < self._lost_at + RETURN_S:
+            return self._lost_at + RETURN_S - now
+        recent = [n for n, at in self._removed_at.items() if now - at < LAPSE_WINDOW_S]
         many = max(MASS_MIN, MASS_SHARE * len(self._endpoint_by_incarnation))
         return MASS_RETURN_S if len(recent) >= many else 0.0
 
@@ -258,7 +261,9 @@
         endpoint = self._endpoint_by_incarnation.pop(name)
         self._is_indexed = False
         self._doubtful_until.pop(name, None)
-        self._removed_at = {n: at for n, at in self._removed_at.items() if now - at < DISTURBED_S}
+        self._removed_at = {
+            n: at for n, at in self._removed_at.items() if now - at < LAPSE_WINDOW_S
+        }
         return Record(
             "endpoint_gone",
             (("endpoint", name), ("service", endpoint.service), ("reason", reason)),
--- a/tests/proxy/test_proxy_directory.py
+++ b/tests/proxy/test_proxy_directory.py
@@ -90,6 +90,17 @@
         directory.due(12.0 + RETURN_S)
         self.assertEqual(names(directory), ["i-2"])
 
+    def test_a_registration_that_ends_some_time_after_the_return_is_soon_taken_as_gone(self):
+        directory = directory_with(endpoint(1), endpoint(2))
+        directory.handle(DirectoryLost("no answer"), 10.0)
+        directory.handle(DirectoryChanged(11, ()), 12.0)
+        directory.handle(DirectoryChanged(12, (EndpointRemoved("i-1"),)), 13.8)
+        self.assertTrue(directory.is_doubtful("i-1"))
+        directory.due(12.0 + RETURN_S)
+        self.assertEqual(names(directory), ["i-2"])
+        directory.handle(DirectoryChanged(13, (EndpointRemoved("i-2"),)), 12.1 + RETURN_S)
+        self.assertEqual(names(directory), [])
+
     def test_nothing_is_dropped_while_the_platform_is_away(self):
         directory = directory_with(endpoint(1), endpoint(2))
         directory.handle(DirectoryLost("no answer"), 10.0)
