--- a/tests/proxy/samples.py
+++ b/tests/proxy/samples.py
@@ -2,7 +2,7 @@
 
 import random
 
-from pollenroad.boundary import AnswerCall, Record, SendPeer, Tick
+from pollenroad.boundary import AnswerCall, PeerReceived, Record, SendPeer, Tick
 from pollenroad.messages import Attempt, AttemptAnswer, LoadReport, Request, Response
 from pollenroad.proxy.boundary import DirectoryRead, RequestArrived, ServerSeen
 from pollenroad.proxy.budgets import BudgetRules
@@ -19,6 +19,8 @@
 )
 
 SERVICE = "registry"
+PEER = "127.0.0.9:7000"
+"""An entry."""
 NO_RETRIES = BudgetRules(ratio=0.0)
 RETRIES = BudgetRules(ratio=1.0, slack=100.0)
 
@@ -163,3 +165,8 @@
         now = max(now, due)
         actions += core.handle(Tick(), now)
     return actions
+
+
+def hand(guard, now: float = 0.0, number: int = 1, **changes) -> list:
+    """Hand an attempt over to a guard; return what it does."""
+    return guard.handle(PeerReceived(PEER, attempt(number, **changes)), now)
