--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -32,6 +32,9 @@
     CatalogueEntry(105, "internal_error", logging.ERROR, "A task failed; the daemon continues."),
     CatalogueEntry(106, "settings_reloaded", logging.INFO, "The settings file was reloaded."),
     CatalogueEntry(107, "settings_refused", logging.ERROR, "A changed settings file is invalid."),
+    CatalogueEntry(
+        109, "loop_stalled", logging.WARNING, "Handling one event held up all other tasks."
+    ),
     CatalogueEntry(108, "log_dropped", logging.WARNING, "Log lines were dropped."),
     CatalogueEntry(200, "call_answered", logging.DEBUG, "A call was answered with a verdict."),
     CatalogueEntry(
--- a/src/pollenroad/proxy/answers.py
+++ b/src/pollenroad/proxy/answers.py
@@ -1,7 +1,12 @@
-"""Answers to the entry: what the end of an exchange with the server proves."""
+"""Answers: what the end of an exchange proves, and refusals of requests that were not sent."""
 
-from pollenroad.boundary import ServerAnswered, ServerFailed, ServerShed
+from collections.abc import Iterator
+
+from pollenroad.boundary import Action, AnswerCall, ServerAnswered, ServerFailed, ServerShed
 from pollenroad.messages import AttemptAnswer
+from pollenroad.proxy.boundary import RequestArrived
+from pollenroad.proxy.calls import RETRY_AFTER_S
+from pollenroad.proxy.records import request_refused
 from pollenroad.verdicts import Verdict
 
 SERVER_ERROR = 500
@@ -24,3 +29,10 @@
 def is_success(answer: AttemptAnswer) -> bool:
     """Return whether the answer has a response of the server with a status below 500."""
     return answer.response is not None and answer.response.status < SERVER_ERROR
+
+
+def refuse(arrived: RequestArrived, reason: str) -> Iterator[Action]:
+    """Refuse a request that was sent to no endpoint."""
+    yield request_refused(arrived, reason)
+    retry_after_ms = RETRY_AFTER_S * 1000
+    yield AnswerCall(arrived.call_id, Verdict.NOT_RUN, reason, retry_after_ms=retry_after_ms)
--- a/src/pollenroad/proxy/boundary.py
+++ b/src/pollenroad/proxy/boundary.py
@@ -31,6 +31,11 @@
     report: LoadReport
 
 
+@dataclass(frozen=True, slots=True)
+class DrainExpired:
+    """The daemon ends now; requests without an answer get their verdict."""
+
+
 @dataclass(frozen=True, slots=True)
 class EntryLost:
     """The link over which an entry had sent attempts was lost."""
@@ -111,6 +116,7 @@
     | RequestArrived
     | LoadHeard
     | EntryLost
+    | DrainExpired
     | ServerSeen
     | ServerSilent
     | DirectoryRead
--- /dev/null
+++ b/src/pollenroad/proxy/caller_connection.py
@@ -0,0 +1,312 @@
+"""One connection of a caller, with pipelined requests that run concurrently.
+
+Each connection has a reading and a writing task. Answers are sent in the order of their requests.
+A connection is closed only after its last answer, because a caller assumes that requests after an
+answer with `Connection: close` were not read.
+"""
+
+import socket
+from collections import deque
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import gevent
+import h11
+from gevent.event import Event as Flag
+from gevent.socket import wait_read
+
+from pollenroad.boundary import AnswerCall, CallAbandoned
+from pollenroad.headers import end_to_end
+from pollenroad.logs import log
+from pollenroad.messages import Request
+from pollenroad.proxy.boundary import RequestArrived
+from pollenroad.proxy.byte_budget import Reservation
+from pollenroad.proxy.exchanges import (
+    Exchange,
+    PartialRequest,
+    answer_bytes,
+    deadline_s,
+    unforwarded_fields,
+)
+from pollenroad.proxy.reply_parser import READ_BYTES
+from pollenroad.shell.frames import MAX_FRAME_BYTES
+from pollenroad.shell.sockets import set_no_delay
+from pollenroad.shell.tasks import TurnCounter
+from pollenroad.verdicts import Verdict
+
+if TYPE_CHECKING:
+    from pollenroad.proxy.callers import Callers
+
+MAX_PIPELINED = 64
+"""Number of unanswered requests of one connection at which reading from it pauses."""
+
+LINGER_S = 0.5
+"""Time between the end of sending and the close, in seconds, in which bytes in transit are read: a
+close with unread bytes resets the connection, and the caller could lose the last answer."""
+
+NO_MEMORY_RETRY_MS = 500.0
+"""Retry-After of a request that is refused because its body cannot be held, in milliseconds."""
+
+MIN_READ_WAIT_S = 0.01
+"""Shortest wait for bytes, in seconds, so that those already received are always read."""
+
+MAX_FORWARDED_BODY_BYTES = MAX_FRAME_BYTES - 131_072
+"""Longest body that is forwarded, in bytes: a frame between daemons, less room for its head. A
+longer frame would break the link, and with it all attempts on it."""
+
+WRITE_TIMEOUT_S = 10.0
+"""Timeout for sending an answer to a caller, in seconds."""
+
+
+class CallerConnection:
+    """One connection of a caller."""
+
+    def __init__(self, callers: "Callers", sock):
+        self._callers = callers
+        self._sock = sock
+        self._exchanges: deque[Exchange] = deque()
+        self._wake = Flag()
+        self._is_ending = False
+        self._can_read = Flag()
+        self._can_read.set()
+
+    # --- Reading ---
+
+    def run(self) -> None:
+        """Read requests until the caller or this side closes the connection."""
+        set_no_delay(self._sock)
+        writer = gevent.spawn(self._write)
+        try:
+            self._read_requests()
+        except (OSError, gevent.Timeout) as error:
+            log("caller_lost", reason=f"{type(error).__name__}: {error}", open=len(self._exchanges))
+        finally:
+            self._is_ending = True
+            self._abandon()
+            self._wake.set()
+            writer.join()
+            self._sock.close()
+
+    def _read_requests(self) -> None:
+        leftover = b""
+        while not self._is_ending:
+            partial = self._new_partial(leftover)
+            is_complete = False
+            try:
+                is_complete = self._read_request(partial) and not self._is_ending
+            except h11.RemoteProtocolError as error:
+                self._refuse(partial, "malformed", str(error))
+            finally:
+                self._callers.reading -= partial.has_bytes
+                if not is_complete:
+                    partial.reservation.release()
+            if not is_complete:
+                return
+            leftover = partial.connection.trailing_data[0]
+            self._handle_request(partial)
+            if len(self._exchanges) >= MAX_PIPELINED:
+                self._can_read.clear()
+            self._can_read.wait()
+
+    def _new_partial(self, leftover: bytes) -> PartialRequest:
+        partial = PartialRequest(self._new_parser(), Reservation(self._callers.held_bodies))
+        if leftover:
+            partial.connection.receive_data(leftover)
+            self._count_received(partial, len(leftover))
+        return partial
+
+    def _count_received(self, partial: PartialRequest, count: int) -> None:
+        self._callers.reading += not partial.has_bytes
+        partial.received(count)
+
+    def _new_parser(self) -> h11.Connection:
+        limit = self._callers.limits.max_header_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+
+    def _read_request(self, partial: PartialRequest) -> bool:
+        """Read until a request is complete; return False if reading ends before that."""
+        turns = TurnCounter()
+        while True:
+            turns.step()  # A chunk of one byte is an event, and one read holds thousands of them.
+            match partial.connection.next_event():
+                case h11.NEED_DATA:
+                    if partial.connection.they_are_waiting_for_100_continue:
+                        interim = h11.InformationalResponse(status_code=100, headers=[])
+                        self._sock.sendall(partial.connection.send(interim))
+                    data = self._receive(partial)
+                    if data is None:
+                        return False
+                    partial.connection.receive_data(data)
+                case h11.Request() as head:
+                    partial.head = head
+                    if not self._is_acceptable(partial):
+                        return False
+                case h11.Data(data=data):
+                    if not self._add_body(partial, data):
+                        return False
+                case h11.EndOfMessage():
+                    return True
+                case _:
+                    return False
+
+    def _is_acceptable(self, partial: PartialRequest) -> bool:
+        names = [name for name, _ in partial.head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            self._refuse(
+                partial, "malformed", "request has both Content-Length and Transfer-Encoding"
+            )
+            return False
+        return True
+
+    def _add_body(self, partial: PartialRequest, data: bytes) -> bool:
+        """Add a part of a body; return False, and refuse the request, if it cannot be held."""
+        size = len(partial.body) + len(data)
+        if size > self._callers.limits.max_body_bytes:
+            reason = "body-too-large"
+        elif size > MAX_FORWARDED_BODY_BYTES or not partial.reservation.try_extend(len(data)):
+            reason = "no-memory"
+        else:
+            partial.body += data
+            return True
+        held_bytes = self._callers.held_bodies.used_bytes
+        self._refuse(partial, reason, f"{size} bytes received, {held_bytes} held for all bodies")
+        return False
+
+    def _receive(self, partial: PartialRequest) -> bytes | None:
+        """Return the next bytes, b"" at the end of the stream, or None after a timeout."""
+        limits = self._callers.limits
+        while True:
+            wait_s = limits.idle_timeout_s
+            if partial.has_bytes:
+                wait_s = partial.left_s(limits.header_timeout_s)
+            try:
+                if wait_s is None:
+                    raise TimeoutError
+                wait_read(self._sock.fileno(), max(MIN_READ_WAIT_S, wait_s))
+            except TimeoutError:
+                if not partial.has_bytes and self._exchanges:
+                    continue
+                if partial.has_bytes:
+                    self._refuse(partial, "header-timeout", "the request arrived too slowly")
+                return None
+            data = self._sock.recv(READ_BYTES)
+            self._count_received(partial, len(data))
+            return data
+
+    # --- Requests ---
+
+    def _handle_request(self, partial: PartialRequest) -> None:
+        """Pass a complete request to the entry, or refuse it if the daemon is about to exit."""
+        dialect, head = self._callers.dialect, partial.head
+        pairs = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers.raw_items()]
+        value_by_name = {name.lower(): value for name, value in pairs}
+        fields = [p for p in end_to_end(pairs) if p[0].lower() not in unforwarded_fields(dialect)]
+        request_id = value_by_name.get(dialect.request_id.lower(), "")
+        if dialect.request_id.lower().startswith("pollenroad-") and request_id:
+            fields.append((dialect.request_id, request_id))
+        call_id = self._callers.register(self, partial.reservation)
+        exchange = Exchange(call_id, partial.connection, request_id)
+        self._exchanges.append(exchange)
+        event = RequestArrived(
+            call_id=exchange.call_id,
+            request_id=request_id,
+            host=value_by_name.get("host", ""),
+            request=Request(
+                method=head.method.decode("latin-1"),
+                path=head.target.decode("latin-1"),
+                headers=tuple(fields),
+                body=bytes(partial.body),
+            ),
+            deadline_s=deadline_s(value_by_name.get(dialect.deadline_ms.lower(), "")),
+        )
+        if self._callers.is_refusing:
+            self.set_answer(
+                AnswerCall(exchange.call_id, Verdict.NOT_RUN, "leaving", retry_after_ms=100)
+            )
+        else:
+            self._callers.post(event)
+
+    def _refuse(self, partial: PartialRequest, reason: str, detail: str) -> None:
+        """Refuse a request as the last one of its connection; return once the answer is written."""
+        call_id = self._callers.register(self, partial.reservation)
+        exchange = Exchange(call_id, partial.connection, "")
+        self._exchanges.append(exchange)
+        log("caller_refused", reason=reason, detail=detail)
+        answer = AnswerCall(call_id, Verdict.NOT_RUN, reason, detail=detail)
+        if reason == "no-memory":
+            answer = replace(answer, retry_after_ms=NO_MEMORY_RETRY_MS)
+        self.set_answer(answer)
+        self._is_ending = True
+        while self._exchanges:
+            self._can_read.clear()
+            self._can_read.wait()
+        self._discard_input()
+
+    def _discard_input(self) -> None:
+        """Read what the caller still sends: a close with unread bytes resets the connection."""
+        with gevent.Timeout(LINGER_S, False):
+            while True:
+                wait_read(self._sock.fileno())
+                if not self._sock.recv(READ_BYTES):
+                    return
+
+    def _abandon(self) -> None:
+        """Report the unanswered requests of a lost connection to the entry as abandoned."""
+        for exchange in self._exchanges:
+            self._callers.forget(exchange.call_id)
+            if exchange.answer is None:
+                self._callers.post(CallAbandoned(exchange.call_id))
+        self._exchanges.clear()
+
+    # --- Answers ---
+
+    def set_answer(self, answer: AnswerCall) -> None:
+        """Store an answer until all earlier ones are written."""
+        for exchange in self._exchanges:
+            if exchange.call_id == answer.call_id:
+                exchange.answer = answer
+        self._wake.set()
+
+    def _write(self) -> None:
+        try:
+            while True:
+                self._wake.wait()
+                self._wake.clear()
+                if self._write_ready():
+                    self._linger()
+                    return
+                if self._is_ending and not self._exchanges:
+                    return
+        except (OSError, gevent.Timeout, h11.LocalProtocolError) as error:
+            log("caller_lost", reason=f"{type(error).__name__}: {error}", open=len(self._exchanges))
+            self._end_reading()
+
+    def _write_ready(self) -> bool:
+        """Write the answers that are next in order; return whether to close the connection then."""
+        while self._exchanges and self._exchanges[0].answer is not None:
+            exchange = self._exchanges[0]
+            is_last = len(self._exchanges) == 1
+            closes = is_last and (self._callers.is_closing or self._is_ending)
+            data, ends = answer_bytes(exchange, closes)
+            with gevent.Timeout(WRITE_TIMEOUT_S):
+                self._sock.sendall(data)
+            if self._exchanges and self._exchanges[0] is exchange:
+                self._exchanges.popleft()
+            self._callers.forget(exchange.call_id)
+            self._can_read.set()
+            if ends:
+                return True
+        return False
+
+    def _linger(self) -> None:
+        self._is_ending = True
+        self._sock.shutdown(socket.SHUT_WR)
+        gevent.spawn_later(LINGER_S, self._end_reading)
+
+    def _end_reading(self) -> None:
+        """Shut the socket down, which ends the reading task."""
+        self._is_ending = True
+        try:
+            self._sock._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return  # The caller has already closed the connection.
--- a/src/pollenroad/proxy/callers.py
+++ b/src/pollenroad/proxy/callers.py
@@ -1,51 +1,23 @@
-"""HTTP/1.1 server for callers, with pipelined requests that run concurrently.
+"""HTTP/1.1 server for callers: open connections and requests, and what they hold together."""
 
-Each connection has a reading and a writing task. Answers are sent in the order of their requests.
-A connection is closed only after its last answer, because a caller assumes that requests after an
-answer with `Connection: close` were not read.
-"""
-
-import socket
-from collections import deque
 from collections.abc import Callable
 
-import gevent
-import h11
-from gevent.event import Event as Flag
 from gevent.server import StreamServer
-from gevent.socket import wait_read
 
 from pollenroad.addresses import split_address
-from pollenroad.boundary import AnswerCall, CallAbandoned
-from pollenroad.headers import end_to_end
-from pollenroad.logs import log
-from pollenroad.messages import Request
-from pollenroad.proxy.boundary import Event, RequestArrived
+from pollenroad.boundary import AnswerCall
+from pollenroad.proxy.boundary import Event
+from pollenroad.proxy.byte_budget import ByteBudget, Reservation
+from pollenroad.proxy.caller_connection import CallerConnection
 from pollenroad.proxy.dialect import Dialect
-from pollenroad.proxy.exchanges import (
-    Exchange,
-    PartialRequest,
-    answer_bytes,
-    deadline_s,
-    unforwarded_fields,
-)
-from pollenroad.proxy.http1 import READ_BYTES
 from pollenroad.published import CallerLimits
-from pollenroad.shell.sockets import set_no_delay
-from pollenroad.verdicts import Verdict
-
-MAX_PIPELINED = 64
-"""Number of unanswered requests of one connection at which reading from it pauses."""
 
 BACKLOG = 1024
 """Length of the accept queue."""
 
-LINGER_S = 0.5
-"""Time between the end of sending and the close, in seconds, in which bytes in transit are read: a
-close with unread bytes resets the connection, and the caller could lose the last answer."""
-
-WRITE_TIMEOUT_S = 10.0
-"""Timeout for sending an answer to a caller, in seconds."""
+MAX_HELD_BODY_BYTES = 25_165_824
+"""Bytes of request bodies that a daemon holds as an entry, over all connections: 24 MiB. They exist
+several times while they are framed and sent, on VMs of 200 MB."""
 
 
 class Callers:
@@ -64,8 +36,12 @@
         """Whether connections are closed after their last answer."""
         self.is_refusing = False
         """Whether new requests are refused because the daemon is about to exit."""
+        self.reading = 0
+        """Number of requests that have been received in part."""
+        self.held_bodies = ByteBudget(MAX_HELD_BODY_BYTES)
         self._count = 0
-        self._connection_by_call: dict[str, _Connection] = {}
+        self._reservation_by_call: dict[str, Reservation] = {}
+        self._connection_by_call: dict[str, CallerConnection] = {}
 
     @property
     def open_requests(self) -> int:
@@ -74,7 +50,7 @@
 
     def serve(self, sock, _remote) -> None:
         """Serve one connection until it ends."""
-        _Connection(self, sock).run()
+        CallerConnection(self, sock).run()
 
     def answer(self, answer: AnswerCall) -> None:
         """Pass an answer to the connection that waits for it."""
@@ -82,233 +58,19 @@
         if connection is not None:
             connection.set_answer(answer)
 
-    def register(self, connection: "_Connection") -> str:
-        """Register a new request of a connection and return its id."""
+    def register(self, connection: CallerConnection, reservation: Reservation) -> str:
+        """Register a new request of a connection, and the bytes that it holds; return its id."""
         self._count += 1
         call_id = str(self._count)
         self._connection_by_call[call_id] = connection
+        self._reservation_by_call[call_id] = reservation
         return call_id
 
     def forget(self, call_id: str) -> None:
         """Remove a request that was answered or abandoned."""
         self._connection_by_call.pop(call_id, None)
-
-
-class _Connection:
-    """One connection of a caller."""
-
-    def __init__(self, callers: Callers, sock):
-        self._callers = callers
-        self._sock = sock
-        self._exchanges: deque[Exchange] = deque()
-        self._wake = Flag()
-        self._is_ending = False
-        self._can_read = Flag()
-        self._can_read.set()
-
-    # --- Reading ---
-
-    def run(self) -> None:
-        """Read requests until the caller or this side closes the connection."""
-        set_no_delay(self._sock)
-        writer = gevent.spawn(self._write)
-        try:
-            self._read_requests()
-        except (OSError, gevent.Timeout) as error:
-            log("caller_lost", reason=f"{type(error).__name__}: {error}", open=len(self._exchanges))
-        finally:
-            self._is_ending = True
-            self._abandon()
-            self._wake.set()
-            writer.join()
-            self._sock.close()
-
-    def _read_requests(self) -> None:
-        leftover = b""
-        while not self._is_ending:
-            partial = PartialRequest(self._new_parser())
-            if leftover:
-                partial.connection.receive_data(leftover)
-                partial.has_bytes = True
-            try:
-                is_complete = self._read_request(partial)
-            except h11.RemoteProtocolError as error:
-                self._refuse(partial, "malformed", str(error))
-                return
-            if not is_complete or self._is_ending:
-                return
-            leftover = partial.connection.trailing_data[0]
-            self._handle_request(partial)
-            if len(self._exchanges) >= MAX_PIPELINED:
-                self._can_read.clear()
-            self._can_read.wait()
-
-    def _new_parser(self) -> h11.Connection:
-        limit = self._callers.limits.max_header_bytes
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
-
-    def _read_request(self, partial: PartialRequest) -> bool:
-        """Read until a request is complete; return False if reading ends before that."""
-        while True:
-            match partial.connection.next_event():
-                case h11.NEED_DATA:
-                    if partial.connection.they_are_waiting_for_100_continue:
-                        interim = h11.InformationalResponse(status_code=100, headers=[])
-                        self._sock.sendall(partial.connection.send(interim))
-                    data = self._receive(partial)
-                    if data is None:
-                        return False
-                    partial.connection.receive_data(data)
-                case h11.Request() as head:
-                    partial.head = head
-                    if not self._is_acceptable(partial):
-                        return False
-                case h11.Data(data=data):
-                    partial.body.append(bytes(data))
-                    partial.size += len(data)
-                    if partial.size > self._callers.limits.max_body_bytes:
-                        self._refuse(
-                            partial,
-                            "body-too-large",
-                            f"body exceeds the limit: {partial.size} bytes received",
-                        )
-                        return False
-                case h11.EndOfMessage():
-                    return True
-                case _:
-                    return False
-
-    def _is_acceptable(self, partial: PartialRequest) -> bool:
-        names = [name for name, _ in partial.head.headers]
-        if b"content-length" in names and b"transfer-encoding" in names:
-            self._refuse(
-                partial, "malformed", "request has both Content-Length and Transfer-Encoding"
-            )
-            return False
-        return True
-
-    def _receive(self, partial: PartialRequest) -> bytes | None:
-        """Return the next bytes, b"" at the end of the stream, or None after a timeout."""
-        limits = self._callers.limits
-        while True:
-            timeout_s = limits.header_timeout_s if partial.has_bytes else limits.idle_timeout_s
-            try:
-                wait_read(self._sock.fileno(), timeout_s)
-            except TimeoutError:
-                if self._exchanges:
-                    continue
-                if partial.has_bytes:
-                    self._refuse(
-                        partial, "header-timeout", f"no bytes received for {timeout_s:g} s"
-                    )
-                return None
-            data = self._sock.recv(READ_BYTES)
-            partial.has_bytes = True
-            return data
-
-    # --- Requests ---
-
-    def _handle_request(self, partial: PartialRequest) -> None:
-        """Pass a complete request to the entry, or refuse it if the daemon is about to exit."""
-        dialect, head = self._callers.dialect, partial.head
-        pairs = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers.raw_items()]
-        value_by_name = {name.lower(): value for name, value in pairs}
-        fields = [p for p in end_to_end(pairs) if p[0].lower() not in unforwarded_fields(dialect)]
-        request_id = value_by_name.get(dialect.request_id.lower(), "")
-        if dialect.request_id.lower().startswith("pollenroad-") and request_id:
-            fields.append((dialect.request_id, request_id))
-        exchange = Exchange(self._callers.register(self), partial.connection, request_id)
-        self._exchanges.append(exchange)
-        event = RequestArrived(
-            call_id=exchange.call_id,
-            request_id=request_id,
-            host=value_by_name.get("host", ""),
-            request=Request(
-                method=head.method.decode("latin-1"),
-                path=head.target.decode("latin-1"),
-                headers=tuple(fields),
-                body=b"".join(partial.body),
-            ),
-            deadline_s=deadline_s(value_by_name.get(dialect.deadline_ms.lower(), "")),
-        )
-        if self._callers.is_refusing:
-            self.set_answer(
-                AnswerCall(exchange.call_id, Verdict.NOT_RUN, "leaving", retry_after_ms=100)
-            )
-        else:
-            self._callers.post(event)
-
-    def _refuse(self, partial: PartialRequest, reason: str, detail: str) -> None:
-        """Refuse a request as the last one of its connection; return once the answer is written."""
-        exchange = Exchange(self._callers.register(self), partial.connection, "")
-        self._exchanges.append(exchange)
-        log("caller_refused", reason=reason, detail=detail)
-        self.set_answer(AnswerCall(exchange.call_id, Verdict.NOT_RUN, reason, detail=detail))
-        self._is_ending = True
-        while self._exchanges:
-            self._can_read.clear()
-            self._can_read.wait()
-
-    def _abandon(self) -> None:
-        """Report the unanswered requests of a lost connection to the entry as abandoned."""
-        for exchange in self._exchanges:
-            self._callers.forget(exchange.call_id)
-            if exchange.answer is None:
-                self._callers.post(CallAbandoned(exchange.call_id))
-        self._exchanges.clear()
-
-    # --- Answers ---
-
-    def set_answer(self, answer: AnswerCall) -> None:
-        """Store an answer until all earlier ones are written."""
-        for exchange in self._exchanges:
-            if exchange.call_id == answer.call_id:
-                exchange.answer = answer
-        self._wake.set()
-
-    def _write(self) -> None:
-        try:
-            while True:
-                self._wake.wait()
-                self._wake.clear()
-                if self._write_ready():
-                    self._linger()
-                    return
-                if self._is_ending and not self._exchanges:
-                    return
-        except (OSError, gevent.Timeout, h11.LocalProtocolError) as error:
-            log("caller_lost", reason=f"{type(error).__name__}: {error}", open=len(self._exchanges))
-            self._end_reading()
-
-    def _write_ready(self) -> bool:
-        """Write the answers that are next in order; return whether to close the connection then."""
-        while self._exchanges and self._exchanges[0].answer is not None:
-            exchange = self._exchanges[0]
-            is_last = len(self._exchanges) == 1
-            closes = is_last and (self._callers.is_closing or self._is_ending)
-            data, ends = answer_bytes(exchange, closes)
-            with gevent.Timeout(WRITE_TIMEOUT_S):
-                self._sock.sendall(data)
-            if self._exchanges and self._exchanges[0] is exchange:
-                self._exchanges.popleft()
-            self._callers.forget(exchange.call_id)
-            self._can_read.set()
-            if ends:
-                return True
-        return False
-
-    def _linger(self) -> None:
-        self._is_ending = True
-        self._sock.shutdown(socket.SHUT_WR)
-        gevent.spawn_later(LINGER_S, self._end_reading)
-
-    def _end_reading(self) -> None:
-        """Shut the socket down, which ends the reading task."""
-        self._is_ending = True
-        try:
-            self._sock._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return  # The caller has already closed the connection.
+        if reservation := self._reservation_by_call.pop(call_id, None):
+            reservation.release()
 
 
 def make_caller_server(address: str, callers: Callers) -> StreamServer:
--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -28,6 +28,22 @@
 """Time before its caller's deadline at which a request is answered, in seconds, so that the answer
 arrives before the caller gives up: a network delay of 8 ms in each direction, and some reserve."""
 
+DEFER_SHARE = 0.11
+"""Longest wait of a request for an available endpoint, as a share of its latency objective."""
+
+DEFER_STEP_S = 0.04
+"""Interval at which a deferred request retries endpoint selection, in seconds."""
+
+MAX_REFUSALS = 6
+"""Refusals by guards after which a request fails, so that it does not circulate between them."""
+
+CONFIGURATION_WAIT_S = 0.4
+"""Longest wait of a request for the first configuration, in seconds: a daemon that has just started
+reads it within a few hundredths of a second, unless the platform is unavailable."""
+
+RECHECK_S = 0.1
+"""Interval at which the hedge check of a late attempt is repeated, in seconds."""
+
 RETRY_AFTER_S = 0.3
 """Retry-After value for callers where no guard states one, in seconds."""
 
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -21,6 +21,7 @@
     DirectoryEvent,
     DirectoryLost,
     DirectoryRead,
+    DrainExpired,
     EntryLost,
     Event,
     LoadHeard,
@@ -105,6 +106,8 @@
                 return self.relay.handle(event, now)
             case RequestArrived() | CallAbandoned() | AttemptUnsent() | PeerLost() | LoadHeard():
                 return self.entry.handle(event, now)
+            case DrainExpired():
+                return self.entry.handle(event, now)
             case PeerReceived(_, AttemptAnswer()):
                 return self.entry.handle(event, now)
             case PeerReceived() | EntryLost() | StopRequested():
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -22,6 +22,7 @@
 from pollenroad.proxy.boundary import (
     Action,
     CheckServer,
+    DrainExpired,
     EntryLost,
     Event,
     TellLoad,
@@ -40,6 +41,7 @@
 from pollenroad.proxy.upstream import Upstream
 from pollenroad.shell.driver import Driver
 from pollenroad.shell.peers import Identity, Peers
+from pollenroad.shell.tasks import spawn_supervised
 from pollenroad.verdicts import Verdict
 
 READINESS_DELAY_S = 2.2
@@ -50,10 +52,14 @@
 """Share of the time between SIGTERM and SIGKILL in which new requests are accepted. The rest is
 reserved for requests in flight."""
 
-DRAIN_SHARE = 0.93
+DRAIN_SHARE = 0.9
 """Share of the time between SIGTERM and SIGKILL after which the daemon ends even with requests in
 flight."""
 
+LAST_ANSWERS_S = 0.4
+"""Time before the end in which the last answers are sent, in seconds. What arrives meanwhile, also
+from the accept queue, is refused as not run."""
+
 POLL_S = 0.05
 """Time between two checks for requests in flight while the daemon stops, in seconds."""
 
@@ -172,9 +178,9 @@
         self.load_datagrams.start()
         for server in self._servers:
             server.start()
-        gevent.spawn(self._driver.run_timer)
+        spawn_supervised("timer", self._driver.run_timer)
         self._reader.start()
-        gevent.spawn(self._watch_settings)
+        spawn_supervised("settings watch", self._watch_settings)
         settings = self.settings
         log(
             "daemon_started",
@@ -204,8 +210,11 @@
                 break
             self.callers.is_refusing = elapsed_s > ACCEPT_SHARE * grace_s
             gevent.sleep(POLL_S)
+        self.callers.is_refusing = True
         if self._pending():
             log("drain_timeout", in_flight=self.cores.guard.in_flight, calls=self._pending())
+            self.post(DrainExpired())
+        gevent.sleep(LAST_ANSWERS_S)
         for server in self._servers:
             server.close()
         log("daemon_stopped", seconds=round(time.monotonic() - started, 2))
@@ -213,7 +222,7 @@
 
     def _pending(self) -> int:
         guard = self.cores.guard
-        return self.callers.open_requests + guard.in_flight + guard.queued
+        return self.callers.open_requests + self.callers.reading + guard.in_flight + guard.queued
 
     # --- Settings ---
 
--- a/src/pollenroad/proxy/directory_reader.py
+++ b/src/pollenroad/proxy/directory_reader.py
@@ -1,6 +1,12 @@
-"""The task that reads the platform: everything once, then changes while watching is on."""
+"""The tasks that read the platform: everything once, then changes while watching is on.
+
+A long poll that gets no answer may wait for a change, or on a connection that is dead. While one is
+open, a second task asks the platform for a cheap sign of life, and has the long poll sent again if
+there is none, or if the platform has had changes for which the long poll did not answer.
+"""
 
 import random
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -10,6 +16,7 @@
 from pollenroad.exceptions import ExchangeError, HistoryLost, PlatformError
 from pollenroad.proxy.boundary import DirectoryChanged, DirectoryEvent, DirectoryLost, DirectoryRead
 from pollenroad.proxy.directory import Directory
+from pollenroad.shell.tasks import spawn_supervised
 
 WATCH_TIMEOUT_S = 10.0
 """Time for which one long poll waits for changes, in seconds. Long, since each request is charged;
@@ -19,6 +26,18 @@
 """Pause between a change and the next long poll, in seconds, so that a burst of changes costs one
 request. A fifth of the time in which a change must be in force."""
 
+PROBE_INTERVAL_S = 1.2
+"""Time without an answer of the platform after which it is probed, in seconds. With the timeout of
+a probe and the pause before a retry, a platform that was silent is read again within 3 s of its
+return, from when on the users count all daemons as being in touch."""
+
+DEAF_AFTER_S = 1.0
+"""Time after which a long poll must have answered with the changes that a probe has seen, in
+seconds: the pause after the last change, and some delay."""
+
+CONFIRM_WAIT_S = 0.05
+"""Wait of the first long poll after a loss, in seconds: short, to confirm the contents soon."""
+
 RETRY_MIN_S = 0.25
 """First pause after a failed request, in seconds; it doubles with each further failure."""
 
@@ -46,8 +65,16 @@
             ExchangeError: If the connection fails.
         """
 
+    def probe(self) -> int:
+        """Return a recent revision of the platform, by a read that may be stale but costs little.
+
+        Raises:
+            PlatformError: If the platform does not answer.
+            ExchangeError: If the connection fails.
+        """
+
     def close(self) -> None:
-        """Close the connection, which aborts a waiting long poll."""
+        """Close all connections, which aborts a waiting long poll."""
 
 
 class DirectoryReader:
@@ -67,10 +94,15 @@
         self._post = post
         self._wanted = Flag()
         self._task: gevent.Greenlet | None = None
+        self._answered_at = float("-inf")
+        self._has_read = False
+        self._is_lost = False
+        """Whether the last request failed, so that the platform is probed before the next one."""
 
     def start(self) -> None:
-        """Start the task, which reads everything and then waits until watching is on."""
-        self._task = gevent.spawn(self._run)
+        """Start the tasks, which read everything and then wait until watching is on."""
+        self._restart()
+        spawn_supervised("platform probe", self._probe_loop)
 
     def watch(self, is_wanted: bool) -> None:
         """Start or stop watching. Stopping aborts a request in flight."""
@@ -78,16 +110,20 @@
             self._wanted.set()
             return
         self._wanted.clear()
-        if self._task is not None and self._task is not gevent.getcurrent():
+        self._restart()
+
+    def _restart(self) -> None:
+        """Abort a request in flight, and start the reading task anew."""
+        if self._task is gevent.getcurrent():
+            return  # Called by that task, which has no request in flight.
+        if self._task is not None:
             self._task.kill(block=False)
         self._source.close()
-        self._task = gevent.spawn(self._watch_loop)
+        self._task = spawn_supervised("platform reader", self._run)
 
     def _run(self) -> None:
-        self._retry(self._read)
-        self._watch_loop()
-
-    def _watch_loop(self) -> None:
+        if not self._has_read:
+            self._retry(self._read)
         while True:
             self._wanted.wait()
             try:
@@ -97,13 +133,54 @@
                 self._retry(self._read)
 
     def _watch_once(self) -> None:
-        changes = self._source.changes(self._directory.revision, WATCH_TIMEOUT_S)
+        wait_s = WATCH_TIMEOUT_S
+        if self._is_lost:
+            self._source.probe()
+            wait_s = CONFIRM_WAIT_S
+        changes = self._source.changes(self._directory.revision, wait_s)
+        self._answered()
         self._post(changes)
         if changes.items:
             gevent.sleep(BATCH_DELAY_S)
 
     def _read(self) -> None:
-        self._post(self._source.read())
+        contents = self._source.read()
+        self._answered()
+        self._has_read = True
+        self._post(contents)
+
+    def _answered(self) -> None:
+        self._answered_at = time.monotonic()
+        self._is_lost = False
+
+    # --- Probes beside a long poll ---
+
+    def _probe_loop(self) -> None:
+        while True:
+            self._wanted.wait()
+            # The jitter keeps the watchers of a fleet from probing at the same moment.
+            interval_s = PROBE_INTERVAL_S * random.uniform(0.8, 1.0)
+            due_in_s = self._answered_at + interval_s - time.monotonic()
+            if self._is_lost or due_in_s > 0:
+                gevent.sleep(interval_s if self._is_lost else due_in_s)
+                continue
+            self._probe()
+
+    def _probe(self) -> None:
+        try:
+            revision = self._source.probe()
+        except (PlatformError, ExchangeError) as error:
+            if self._wanted.is_set() and not self._is_lost:
+                self._report_failure(error)
+                self._restart()
+            return
+        self._answered_at = probed_at = time.monotonic()
+        if revision > self._directory.revision:
+            gevent.sleep(DEAF_AFTER_S)
+            is_deaf = revision > self._directory.revision and self._answered_at == probed_at
+            if is_deaf and self._wanted.is_set():
+                self._report_failure(PlatformError("a long poll misses changes"))
+                self._restart()
 
     def _retry(self, step: Callable[[], None]) -> None:
         """Repeat a step until it succeeds.
@@ -125,4 +202,5 @@
 
     def _report_failure(self, error: Exception) -> None:
         self._source.close()
+        self._is_lost = True
         self._post(DirectoryLost(f"{type(error).__name__}: {error}"))
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -15,39 +15,38 @@
     CallAbandoned,
     PeerLost,
     PeerReceived,
-    Record,
     SendPeer,
     Tick,
 )
-from pollenroad.messages import AttemptAnswer, CancelAttempt, LoadReport, Response
-from pollenroad.proxy.answers import is_success
-from pollenroad.proxy.boundary import DirectoryRead, Event, LoadHeard, RequestArrived
+from pollenroad.messages import AttemptAnswer, CancelAttempt, Response
+from pollenroad.proxy.answers import is_success, refuse
+from pollenroad.proxy.boundary import (
+    DirectoryRead,
+    DrainExpired,
+    Event,
+    LoadHeard,
+    RequestArrived,
+)
 from pollenroad.proxy.budgets import BudgetRules, Budgets
-from pollenroad.proxy.calls import PEER_LOST, RETRY_AFTER_S, OpenAttempt, OpenCall, make_open_call
+from pollenroad.proxy.calls import (
+    CONFIGURATION_WAIT_S,
+    DEFER_SHARE,
+    DEFER_STEP_S,
+    MAX_REFUSALS,
+    PEER_LOST,
+    RECHECK_S,
+    OpenAttempt,
+    OpenCall,
+    make_open_call,
+)
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.fleet import EndpointView
-from pollenroad.proxy.records import attempt_ended, attempt_sent, call_answered, request_refused
+from pollenroad.proxy.records import attempt_ended, attempt_sent, call_answered, server_slow
 from pollenroad.proxy.routes import Splitter
 from pollenroad.proxy.selection import EndpointSelector
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
 
-DEFER_SHARE = 0.11
-"""Longest wait of a request for an available endpoint, as a share of its latency objective."""
-
-DEFER_STEP_S = 0.04
-"""Interval at which a deferred request retries endpoint selection, in seconds."""
-
-MAX_REFUSALS = 6
-"""Refusals by guards after which a request fails, so that it does not circulate between them."""
-
-CONFIGURATION_WAIT_S = 0.4
-"""Longest wait of a request for the first configuration, in seconds: a daemon that has just started
-reads it within a few hundredths of a second, unless the platform is unavailable."""
-
-RECHECK_S = 0.1
-"""Interval at which the hedge check of a late attempt is repeated, in seconds."""
-
 
 class Entry:
     """State of one entry: open requests, their attempts, and the load of endpoints."""
@@ -96,14 +95,16 @@
                     yield from self._on_request(self._pop_unrouted(call_id), now)
             case PeerReceived(_, AttemptAnswer() as answer):
                 yield from self._on_answer(answer, now)
-            case LoadHeard(_, report):
-                yield from self._on_load(report, now)
+            case LoadHeard(_, report) if self.fleet.learn(report, now):
+                yield server_slow(report)
             case CallAbandoned(call_id):
                 yield from self._abandon(call_id, now)
             case AttemptUnsent(attempt_id):
                 yield from self._on_unsent(attempt_id, now)
             case PeerLost(peer):
                 yield from self._on_peer_lost(peer, now)
+            case DrainExpired():
+                yield from self._on_drain_expired(now)
             case Tick():
                 yield from self._on_tick(now)
 
@@ -116,7 +117,7 @@
             return
         route = self._directory.routes.match(arrived.host, arrived.request.path)
         if route is None:
-            yield from _refuse(arrived, "no-route")
+            yield from refuse(arrived, "no-route")
             return
         call = make_open_call(arrived, route, self._splitter.service_of(route), now)
         self._call_by_id[arrived.call_id] = call
@@ -189,7 +190,8 @@
             case Verdict.UNKNOWN:
                 if answer.reason != PEER_LOST:  # A fault of the daemon, not of the server.
                     attempt.view.failed(now)
-                yield from self._on_unknown(call, answer.reason, now)
+                call.may_have_run = True
+                yield from self._retry_or_finish(call, verdict, answer.reason, now)
             case Verdict.NOT_RUN:
                 if answer.retry_after_ms:
                     call.retry_after_s = answer.retry_after_ms / 1000
@@ -209,10 +211,6 @@
         call.error_response = answer.response
         yield from self._retry_or_finish(call, Verdict.RAN, "server-error", now)
 
-    def _on_unknown(self, call: OpenCall, reason: str, now: float) -> Iterator[Action]:
-        call.may_have_run = True
-        yield from self._retry_or_finish(call, Verdict.UNKNOWN, reason, now)
-
     def _on_not_run(
         self, call: OpenCall, endpoint: str, reason: str, reached_server: bool, now: float
     ) -> Iterator[Action]:
@@ -282,6 +280,17 @@
             call.arrived.call_id, verdict, reason, response, call.attempts, endpoint, retry_after_ms
         )
 
+    def _on_drain_expired(self, now: float) -> Iterator[Action]:
+        """Answer all open requests; what a server may be running is not cancelled."""
+        for call_id in list(self._unrouted_by_id):
+            yield from refuse(self._pop_unrouted(call_id), "leaving")
+        for call in list(self._call_by_id.values()):
+            verdict = Verdict.UNKNOWN if call.open_attempt_ids else Verdict.NOT_RUN
+            if not call.route.idempotent:
+                for attempt_id in list(call.open_attempt_ids):
+                    self._close_attempt(attempt_id, now)
+            yield from self._finish(call, verdict, "leaving", now)
+
     def _close(self, call: OpenCall, now: float) -> Iterator[Action]:
         call_id = call.arrived.call_id
         del self._call_by_id[call_id]
@@ -304,7 +313,7 @@
     def _on_tick(self, now: float) -> Iterator[Action]:
         for kind, call_id in list(self._timers.pop_due(now)):
             if kind == "unrouted":
-                yield from _refuse(self._unrouted_by_id.pop(call_id), "no-configuration")
+                yield from refuse(self._unrouted_by_id.pop(call_id), "no-configuration")
                 continue
             call = self._call_by_id.get(call_id)
             if call is None:
@@ -337,14 +346,3 @@
             yield from self._send_to(call, *chosen, "hedge", now)
             return
         self._timers.set(("look", call.arrived.call_id), now + RECHECK_S)
-
-    def _on_load(self, report: LoadReport, now: float) -> Iterator[Action]:
-        if self.fleet.learn(report, now):
-            fields = (("endpoint", report.endpoint), ("slowdown", round(report.slowdown, 2)))
-            yield Record("server_slow", fields)
-
-
-def _refuse(arrived: RequestArrived, reason: str) -> Iterator[Action]:
-    yield request_refused(arrived, reason)
-    retry_after_ms = RETRY_AFTER_S * 1000
-    yield AnswerCall(arrived.call_id, Verdict.NOT_RUN, reason, retry_after_ms=retry_after_ms)
--- a/src/pollenroad/proxy/exchanges.py
+++ b/src/pollenroad/proxy/exchanges.py
@@ -1,16 +1,25 @@
 """Requests of one caller connection, and the encoding of their answers."""
 
+import time
 from dataclasses import dataclass, field
 
 import h11
 
 from pollenroad.boundary import AnswerCall
+from pollenroad.proxy.byte_budget import Reservation
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.verdicts import Verdict
 
 DEFAULT_DEADLINE_S = 60.0
 """Deadline of a request without a valid deadline field, in seconds."""
 
+MIN_PROGRESS_BYTES = 1_024
+"""Bytes that must arrive in each `header_timeout` while a body is read: a caller that sends single
+bytes holds memory for hours."""
+
+MAX_OVERDUE_READS = 8
+"""Reads after the time limit, of bytes that may have been waiting while this process was paused."""
+
 STATUS_BY_REASON = {
     "no-route": 404,
     "body-too-large": 413,
@@ -35,10 +44,34 @@
     """A request that has not been received completely."""
 
     connection: h11.Connection
+    reservation: Reservation
+    """Bytes of the body, in the budget of the daemon."""
     head: h11.Request | None = None
-    body: list[bytes] = field(default_factory=list)
-    size: int = 0
+    body: bytearray = field(default_factory=bytearray)
     has_bytes: bool = False
+    _window_end: float = 0.0
+    _window_bytes: int = 0
+    _overdue_reads: int = 0
+
+    def left_s(self, timeout_s: float) -> float | None:
+        """Return how long to wait for more bytes, in seconds, or None if the caller is too slow.
+
+        The head must be complete within the timeout, and a body must grow by `MIN_PROGRESS_BYTES`
+        in each such time.
+        """
+        now = time.monotonic()
+        has_progress = self.head is not None and self._window_bytes >= MIN_PROGRESS_BYTES
+        if not self._window_end or (has_progress and now >= self._window_end):
+            self._window_end, self._window_bytes = now + timeout_s, 0
+        if now < self._window_end:
+            return self._window_end - now
+        self._overdue_reads += 1
+        return 0.0 if self._overdue_reads <= MAX_OVERDUE_READS else None
+
+    def received(self, count: int) -> None:
+        """Count received bytes."""
+        self.has_bytes = True
+        self._window_bytes += count
 
 
 def status_of(answer: AnswerCall) -> int:
--- a/src/pollenroad/proxy/http1.py
+++ b/src/pollenroad/proxy/http1.py
@@ -1,68 +1,73 @@
-"""HTTP/1.1 over gevent sockets, parsed by h11: a client, and a small server for operators.
+"""HTTP/1.1 over gevent sockets: a client, and a small server for operators.
 
-h11 rejects what RFC 9112 forbids. This is needed because a truncated or corrupt answer must not
-look complete, and bytes after an answer belong to no request.
+No peer can keep the event loop busy: every read waits in the hub, and parsing is done in steps.
 """
 
 import socket
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 import gevent
 import h11
 from gevent import socket as gsocket
 from gevent.server import StreamServer
+from gevent.socket import wait_read
 
 from pollenroad.addresses import split_address
 from pollenroad.exceptions import ExchangeError
 from pollenroad.logs import log
+from pollenroad.proxy.byte_budget import ByteBudget
+from pollenroad.proxy.reply_parser import (
+    READ_BYTES,
+    Interrupted,
+    NeedData,
+    Reply,
+    ReplyLimits,
+    ReplyParser,
+)
 from pollenroad.shell.sockets import set_liveness_options, set_no_delay
 
-READ_BYTES = 65_536
-"""Size of one read from a socket, in bytes."""
-
-MAX_REPLY_BYTES = 33_554_432
-"""Longest accepted body of an answer, in bytes."""
-
 MAX_REPLIES = 4
 """Maximum number of answers read in one exchange; those to earlier requests are skipped."""
 
+MAX_HELD_REPLY_BYTES = 25_165_824
+"""Bytes of answers' bodies that a daemon reads at once, over all connections: 24 MiB. They exist
+several times while they are framed and sent, on VMs of 200 MB."""
+
+SEPARATE_SEND_BYTES = 32_768
+"""Length of a request body from which sending and reading overlap: a server may answer before it
+has read a long body."""
+
 OPERATOR_IDLE_S = 30.0
 """Idle time after which an operator's connection is closed, in seconds."""
 
+MAX_OPERATOR_REQUEST_BYTES = 65_536
+"""Longest request of an operator, in bytes."""
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A complete answer."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    """Name and value of each field; names in lower case."""
-    body: bytes
-    can_reuse: bool
-    """Whether the connection can be used for another exchange."""
+REPLY_LIMITS = ReplyLimits()
 
-    def header(self, name: str) -> str:
-        """Return the first value of a header field, or an empty string."""
-        lower = name.lower()
-        return next((value for key, value in self.headers if key == lower), "")
+_held_replies = ByteBudget(MAX_HELD_REPLY_BYTES)
 
 
 class ClientConnection:
-    """One connection to an HTTP server, with one exchange at a time."""
+    """One connection to an HTTP server, with one exchange at a time.
 
-    def __init__(self, address: str, timeout_s: float):
-        """Connect.
+    Args:
+        address: Address of the server.
+        timeout_s: Timeout for opening the connection, in seconds.
+        limits: Bounds on an answer.
 
-        Raises:
-            ExchangeError: If the connection cannot be opened; nothing has been sent.
-        """
+    Raises:
+        ExchangeError: If the connection cannot be opened; nothing has been sent.
+    """
+
+    def __init__(self, address: str, timeout_s: float, limits: ReplyLimits = REPLY_LIMITS):
         try:
             self._sock = gsocket.create_connection(split_address(address), timeout_s)
             self._sock.settimeout(None)
             set_liveness_options(self._sock)
         except OSError as error:
             raise ExchangeError(f"no connection to {address}: {error}", reached=False) from error
+        self._limits = limits
         self._unread = b""
 
     def close(self) -> None:
@@ -97,57 +102,75 @@
             is_stale: Returns whether an answer belongs to an earlier request and must be skipped.
 
         Raises:
-            ExchangeError: If the answer is incomplete or not valid HTTP; the request may have run.
+            ExchangeError: If the answer is incomplete, not valid HTTP or exceeds a bound; the
+                request may have run.
         """
         fields = [*headers]
         if body or method in ("POST", "PUT", "PATCH"):
             fields.append(("Content-Length", str(len(body))))
         request = h11.Request(method=method, target=target, headers=fields)
+        data = _encode(request, body)
         try:
-            self._sock.sendall(_encode(h11.Connection(h11.CLIENT), request, body))
-            for _ in range(MAX_REPLIES):
-                reply = self._read_reply(request, body)
-                if not is_stale(reply):
-                    return reply
-                if not reply.can_reuse and not self._unread:
-                    break
+            if len(body) < SEPARATE_SEND_BYTES:
+                self._sock.sendall(data)
+                return self._read_own_reply(request, is_stale)
+            return self._send_while_reading(request, data, is_stale)
         except h11.ProtocolError as error:
             raise ExchangeError(f"no whole answer: {error}", reached=True) from error
         except OSError as error:
             raise ExchangeError(f"connection broke: {error}", reached=True) from error
+
+    def _send_while_reading(
+        self, request: h11.Request, data: bytes, is_stale: Callable[[Reply], bool]
+    ) -> Reply:
+        sender = gevent.spawn(self._send, data)
+        try:
+            reply = self._read_own_reply(request, is_stale)
+        finally:
+            is_sent = sender.successful() and sender.value
+            sender.kill()
+        if is_sent or not reply.can_reuse:
+            return reply
+        # The server expects the rest of the body next, not another request.
+        return Reply(reply.status, reply.headers, reply.body, can_reuse=False)
+
+    def _send(self, data: bytes) -> bool:
+        """Send `data`; return False if the server closed its side, which the reader reports."""
+        try:
+            self._sock.sendall(data)
+        except OSError:
+            return False
+        return True
+
+    def _read_own_reply(self, request: h11.Request, is_stale: Callable[[Reply], bool]) -> Reply:
+        for _ in range(MAX_REPLIES):
+            reply = self._read_reply(request)
+            if not is_stale(reply):
+                return reply
+            if not reply.can_reuse and not self._unread:
+                break
         raise ExchangeError("only answers to other requests", reached=True)
 
-    def _read_reply(self, request: h11.Request, body: bytes) -> Reply:
-        connection = h11.Connection(h11.CLIENT)
-        _encode(connection, request, body)  # How an answer is parsed depends on its request.
-        if self._unread:
-            connection.receive_data(self._unread)
-        response, parts, size = None, [], 0
-        while True:
-            match connection.next_event():
-                case h11.NEED_DATA:
-                    data = self._sock.recv(READ_BYTES)
-                    if not data and response is None:
-                        raise ExchangeError("closed without an answer", reached=True)
-                    connection.receive_data(data)
-                case h11.Response() as response:
-                    pass
-                case h11.Data(data=data):
-                    parts.append(bytes(data))
-                    size += len(data)
-                    if size > MAX_REPLY_BYTES:
-                        raise ExchangeError("answer too long", reached=True)
-                case h11.EndOfMessage():
-                    break
-                case h11.ConnectionClosed():
-                    raise ExchangeError("closed without an answer", reached=True)
-        self._unread = connection.trailing_data[0]
-        can_reuse = connection.their_state is h11.DONE and not self._unread
-        headers = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in response.headers)
-        return Reply(response.status_code, headers, b"".join(parts), can_reuse)
-
-
-def _encode(connection: h11.Connection, request: h11.Request, body: bytes) -> bytes:
+    def _read_reply(self, request: h11.Request) -> Reply:
+        parser = ReplyParser(request, self._unread, self._limits, _held_replies)
+        try:
+            while True:
+                match parser.step():
+                    case Reply() as reply:
+                        self._unread = parser.unread
+                        return reply
+                    case Interrupted():
+                        gevent.sleep(0)
+                    case NeedData():
+                        # A read alone does not yield while the socket has data.
+                        wait_read(self._sock.fileno())
+                        parser.receive(self._sock.recv(READ_BYTES))
+        finally:
+            parser.release()
+
+
+def _encode(request: h11.Request, body: bytes) -> bytes:
+    connection = h11.Connection(h11.CLIENT)
     data = connection.send(request)
     if body:
         data += connection.send(h11.Data(data=body))
@@ -171,7 +194,7 @@
     def handle(sock, _remote) -> None:
         try:
             _serve_connection(sock, pages)
-        except (OSError, gevent.Timeout, h11.ProtocolError) as error:
+        except (OSError, gevent.Timeout, h11.ProtocolError, ExchangeError) as error:
             log("operator_connection_lost", reason=f"{type(error).__name__}: {error}")
         finally:
             sock.close()
@@ -181,13 +204,17 @@
 
 def _serve_connection(sock, pages: dict[str, Callable[[], Page]]) -> None:
     set_no_delay(sock)
-    sock.settimeout(OPERATOR_IDLE_S)
     connection = h11.Connection(h11.SERVER)
-    path = ""
+    path, request_bytes = "", 0
     while True:
         match connection.next_event():
             case h11.NEED_DATA:
-                connection.receive_data(sock.recv(READ_BYTES))
+                wait_read(sock.fileno(), OPERATOR_IDLE_S)
+                data = sock.recv(READ_BYTES)
+                request_bytes += len(data)
+                if request_bytes > MAX_OPERATOR_REQUEST_BYTES:
+                    raise ExchangeError("request too long", reached=False)
+                connection.receive_data(data)
             case h11.Request(target=target):
                 path = target.decode("latin-1").partition("?")[0]
             case h11.EndOfMessage():
@@ -195,6 +222,7 @@
                 if connection.our_state is not h11.DONE:
                     return
                 connection.start_next_cycle()
+                request_bytes = 0
             case h11.ConnectionClosed() | h11.PAUSED:
                 return
 
--- a/src/pollenroad/proxy/load_datagrams.py
+++ b/src/pollenroad/proxy/load_datagrams.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import gevent
 import msgspec
 from gevent import socket as gsocket
 
@@ -10,6 +9,7 @@
 from pollenroad.logs import log
 from pollenroad.messages import LoadReport
 from pollenroad.proxy.boundary import Event, LoadHeard
+from pollenroad.shell.tasks import TurnCounter, spawn_supervised
 
 MAX_DATAGRAM_BYTES = 1_400
 """Longest datagram in bytes, below the usual MTU."""
@@ -85,7 +85,7 @@
     def start(self) -> None:
         """Start to receive reports."""
         self._sock.bind((self._host, self._port))
-        gevent.spawn(self._read)
+        spawn_supervised("load datagrams", self._read)
 
     def send(self, hosts: tuple[str, ...], report: LoadReport) -> None:
         """Send a report to the daemons on `hosts`, without blocking."""
@@ -101,7 +101,9 @@
                 log("notice_unsent", host=host, reason=str(error), unsent=self.failed)
 
     def _read(self) -> None:
+        turns = TurnCounter()
         while True:
+            turns.step()
             data, (host, _port) = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             try:
                 self._post(LoadHeard(host, decode_report(data)))
--- a/src/pollenroad/proxy/records.py
+++ b/src/pollenroad/proxy/records.py
@@ -143,6 +143,12 @@
     return Record("attempt_done", fields)
 
 
+def server_slow(report: LoadReport) -> Record:
+    """Return the record of a report that an endpoint has become slow."""
+    fields = (("endpoint", report.endpoint), ("slowdown", round(report.slowdown, 2)))
+    return Record("server_slow", fields)
+
+
 def guard_state(report: LoadReport, before: str, reason: str, revision: int) -> Record:
     """Return the record of a change of the state that a guard reports."""
     fields = (
--- /dev/null
+++ b/src/pollenroad/proxy/reply_parser.py
@@ -0,0 +1,156 @@
+"""Parsing of one HTTP answer within bounds, without I/O.
+
+h11 rejects what RFC 9112 forbids, and bounds a single head. A faulty server can still send valid
+bytes without end: informational answers, chunks of one byte, a body without a length. Each of them
+has a bound here, and the work of one step is bounded so that the caller can yield between steps.
+"""
+
+from dataclasses import dataclass
+
+import h11
+
+from pollenroad.exceptions import ExchangeError
+from pollenroad.proxy.byte_budget import ByteBudget, Reservation
+
+EVENTS_PER_STEP = 64
+"""Most parser events that one step handles; a chunk of the body is one event."""
+
+READ_BYTES = 65_536
+"""Size of one read from a socket, in bytes."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyLimits:
+    """Bounds on what a server may send in one answer."""
+
+    max_informational: int = 8
+    """Answers with a status below 200 that may precede the answer."""
+    max_framing_bytes: int = 65_536
+    """Bytes apart from the body: heads, chunk sizes and extensions, and trailers."""
+    max_framing_share: float = 0.25
+    """Further such bytes that are allowed, as a share of the body."""
+    max_body_bytes: int = 8_388_608
+    """Bytes of the body. A frame between daemons holds no more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A complete answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    """Name and value of each field; names in lower case."""
+    body: bytes
+    can_reuse: bool
+    """Whether the connection can be used for another exchange."""
+
+    def header(self, name: str) -> str:
+        """Return the first value of a header field, or an empty string."""
+        lower = name.lower()
+        return next((value for key, value in self.headers if key == lower), "")
+
+
+@dataclass(frozen=True, slots=True)
+class NeedData:
+    """More bytes must be received before the next step."""
+
+
+@dataclass(frozen=True, slots=True)
+class Interrupted:
+    """The step has done its share of work; received bytes are still to be parsed."""
+
+
+Step = NeedData | Interrupted | Reply
+
+
+class ReplyParser:
+    """Parser of the answer to one request.
+
+    Args:
+        request: The request; how an answer is parsed depends on it.
+        leftover: Bytes already received on this connection.
+        limits: Bounds on the answer.
+        budget: Bytes that the daemon may hold for bodies of answers.
+    """
+
+    def __init__(
+        self, request: h11.Request, leftover: bytes, limits: ReplyLimits, budget: ByteBudget
+    ):
+        self._connection = h11.Connection(h11.CLIENT)
+        self._connection.send(request)
+        self._limits = limits
+        self._reservation = Reservation(budget)
+        self._response: h11.Response | None = None
+        self._body = bytearray()
+        self._informational = 0
+        self._received_bytes = len(leftover)
+        self.unread = b""
+        """Bytes after the complete answer."""
+        if leftover:
+            self._connection.receive_data(leftover)
+
+    def receive(self, data: bytes) -> None:
+        """Add received bytes; none at the end of the stream.
+
+        Raises:
+            ExchangeError: If the stream ended before any answer.
+        """
+        if not data and self._response is None:
+            raise ExchangeError("closed without an answer", reached=True)
+        self._received_bytes += len(data)
+        self._connection.receive_data(data)
+
+    def step(self) -> Step:
+        """Parse received bytes until the answer is complete, or the step has done its share.
+
+        Raises:
+            ExchangeError: If the answer is incomplete or exceeds a bound.
+            h11.RemoteProtocolError: If it is malformed.
+        """
+        for _ in range(EVENTS_PER_STEP):
+            match self._connection.next_event():
+                case h11.NEED_DATA:
+                    self._check_framing()
+                    return NeedData()
+                case h11.InformationalResponse():
+                    self._add_informational()
+                case h11.Response() as response:
+                    self._response = response
+                case h11.Data(data=data):
+                    self._add_body(data)
+                case h11.EndOfMessage():
+                    return self._complete()
+                case _:
+                    raise ExchangeError("closed without an answer", reached=True)
+        self._check_framing()
+        return Interrupted()
+
+    def release(self) -> None:
+        """Return the bytes that this answer holds to the budget."""
+        self._reservation.release()
+
+    def _add_informational(self) -> None:
+        self._informational += 1
+        if self._informational > self._limits.max_informational:
+            raise ExchangeError("too many informational answers", reached=True)
+
+    def _add_body(self, data: bytes) -> None:
+        if len(self._body) + len(data) > self._limits.max_body_bytes:
+            raise ExchangeError("answer too long", reached=True)
+        if not self._reservation.try_extend(len(data)):
+            raise ExchangeError("no memory for the answer", reached=True)
+        self._body += data
+
+    def _check_framing(self) -> None:
+        """Bound the bytes apart from the body; up to one read of them is not parsed yet."""
+        limits, body_bytes = self._limits, len(self._body)
+        allowed_bytes = limits.max_framing_bytes + limits.max_framing_share * body_bytes
+        if self._received_bytes - body_bytes > allowed_bytes + READ_BYTES:
+            raise ExchangeError("too many bytes apart from the body", reached=True)
+
+    def _complete(self) -> Reply:
+        connection, response = self._connection, self._response
+        self.unread = connection.trailing_data[0]
+        can_reuse = connection.their_state is h11.DONE and not self.unread
+        headers = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in response.headers)
+        return Reply(response.status_code, headers, bytes(self._body), can_reuse)
--- a/src/pollenroad/proxy/settings.py
+++ b/src/pollenroad/proxy/settings.py
@@ -74,5 +74,5 @@
         return msgspec.json.decode(Path(path).read_bytes(), type=ProxySettings)
     except OSError as error:
         raise ConfigurationError(path, "$", f"cannot be read: {error.strerror}") from error
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise ConfigurationError(path, "$", str(error)) from error
--- a/src/pollenroad/proxy/upstream.py
+++ b/src/pollenroad/proxy/upstream.py
@@ -18,7 +18,8 @@
 from pollenroad.messages import Attempt, Response
 from pollenroad.proxy.boundary import Event, ServerSeen, ServerSilent
 from pollenroad.proxy.dialect import Dialect
-from pollenroad.proxy.http1 import ClientConnection, Reply
+from pollenroad.proxy.http1 import ClientConnection
+from pollenroad.proxy.reply_parser import Reply
 
 CONNECT_TIMEOUT_S = 0.5
 """Time to open a connection to a server on the same VM, in seconds."""
@@ -53,6 +54,7 @@
         self._dialect = dialect
         self._post = post
         self._idle: deque[tuple[float, ClientConnection]] = deque()
+        self._health_connection: ClientConnection | None = None
         self._task_by_attempt: dict[str, gevent.Greenlet] = {}
 
     # --- What the daemon calls ---
@@ -75,6 +77,7 @@
     def set_server(self, server: str) -> None:
         """Switch to a server at another address."""
         self.server = server
+        self._close_health_connection()
         while self._idle:
             self._idle.pop()[1].close()
 
@@ -124,12 +127,21 @@
         try:
             reply = connection.exchange(*request)
         finally:
-            if reply is not None and reply.can_reuse:
+            if reply is not None and self._is_reusable_after(reply):
                 self._idle.append((time.monotonic(), connection))
             else:
                 connection.close()
         return reply
 
+    def _is_reusable_after(self, reply: Reply) -> bool:
+        """Return whether another request may follow an answer on its connection.
+
+        A late second copy of an answer is recognised by the id of its request. Without an id it
+        would be taken for the answer to the next request, and a refusal for proof that it did not
+        run.
+        """
+        return reply.can_reuse and bool(reply.header(self._dialect.request_id))
+
     def _acquire_connection(self, longest_idle_s: float) -> ClientConnection:
         while self._idle:
             since, connection = self._idle.pop()
@@ -188,16 +200,44 @@
         event = ServerSilent("no answer")
         try:
             with gevent.Timeout(timeout_s):
-                connection = self._acquire_connection(IDLE_REUSE_S)
-                reply = self._exchange(connection, "GET", path, [("Host", self.server)])
+                reply = self._exchange_health(path)
             event = self._server_seen(reply, is_health=True)
         except gevent.Timeout:
             event = ServerSilent("no answer in time")
         except ExchangeError as error:
             event = ServerSilent(str(error))
+        except Exception as error:
+            log("internal_error", where="health check", reason=repr(error))
         finally:
             self._post(event)
 
+    def _exchange_health(self, path: str) -> Reply:
+        """Ask for the server's health, on a connection of its own.
+
+        Health responses carry no id of a request, so that one could not be told from a late copy of
+        an answer; and a server that is full may leave a connection without any further answer.
+        """
+        connection = self._health_connection
+        self._health_connection = None
+        if connection is None or not connection.is_reusable():
+            if connection is not None:
+                connection.close()
+            connection = ClientConnection(self.server, CONNECT_TIMEOUT_S)
+        reply = None
+        try:
+            reply = connection.exchange("GET", path, [("Host", self.server)])
+        finally:
+            if reply is not None and reply.can_reuse and self._health_connection is None:
+                self._health_connection = connection
+            else:
+                connection.close()
+        return reply
+
+    def _close_health_connection(self) -> None:
+        if self._health_connection is not None:
+            self._health_connection.close()
+            self._health_connection = None
+
     def _post_load(self, reply: Reply) -> None:
         if reply.header(self._dialect.load):
             self._post(self._server_seen(reply, is_health=False))
--- a/src/pollenroad/shell/driver.py
+++ b/src/pollenroad/shell/driver.py
@@ -7,6 +7,10 @@
 from gevent.event import Event as Flag
 
 from pollenroad.boundary import Tick
+from pollenroad.logs import log
+
+STALL_S = 0.25
+"""Time for one event from which it is logged as a stall of the event loop, in seconds."""
 
 
 class Driver:
@@ -33,12 +37,23 @@
         self._is_handling = True
         try:
             while self._event_queue:
-                self._handle(self._event_queue.popleft())
+                self._handle_next(self._event_queue.popleft())
         finally:
             self._is_handling = False
         if self._next_due() < self._timer_due:
             self._wake.set()
 
+    def _handle_next(self, event: object) -> None:
+        """Handle one event; an unexpected error ends this event only, and is logged."""
+        started = time.monotonic()
+        try:
+            self._handle(event)
+        except Exception as error:
+            log("internal_error", where=type(event).__name__, reason=repr(error))
+        elapsed_s = time.monotonic() - started
+        if elapsed_s >= STALL_S:
+            log("loop_stalled", where=type(event).__name__, ms=round(elapsed_s * 1000))
+
     def run_timer(self) -> None:
         """Post a `Tick` whenever one is due; runs forever, as a separate task."""
         while True:
--- a/src/pollenroad/shell/peers.py
+++ b/src/pollenroad/shell/peers.py
@@ -42,11 +42,11 @@
     read_message,
 )
 from pollenroad.shell.sockets import set_liveness_options
+from pollenroad.shell.tasks import TurnCounter
 
 DIAL_TIMEOUT_S = 0.5
 HELLO_TIMEOUT_S = 2.0
 HELLO_MAX_BYTES = 4096
-
 NONCE_BYTES = 16
 """Length of a challenge in bytes."""
 MAX_OUTBOX_BYTES = 33_554_432
@@ -161,8 +161,10 @@
     def read(self, on_message: Callable[[PeerMessage], None]) -> None:
         """Pass each received message to `on_message` until the link ends."""
         try:
+            turns = TurnCounter()
             while not self._closed and (body := read_body(self._stream)) is not None:
                 on_message(self._decode(body))
+                turns.step()
         except PeerError as error:
             log("peer_refused", peer=self.peer, reason=str(error))
         except OSError as error:
@@ -182,8 +184,7 @@
         self._closed = True
         self._wake.set()
         self._sock.close()
-        unsent = [message for message, _ in self._outbox]
-        self._on_closed(self, unsent)
+        self._on_closed(self, [message for message, _ in self._outbox])
 
 
 class Peers:
@@ -262,8 +263,8 @@
     def _dial(self, peer: str) -> None:
         try:
             link = self._connect(peer)
-        except (OSError, PeerError, ValueError, gevent.Timeout) as error:
-            log("peer_lost", peer=peer, reason=str(error))
+        except (Exception, gevent.Timeout) as error:
+            log("peer_lost", peer=peer, reason=f"{type(error).__name__}: {error}")
             self._post_unsent(self._pending_by_peer.pop(peer))
             return
         self._dialled_by_peer[peer] = link
@@ -317,7 +318,7 @@
         stream = sock.makefile("rb")
         try:
             hello = self._authenticate(sock, stream, remote[0])
-        except (OSError, PeerError, gevent.Timeout) as error:
+        except (OSError, PeerError, ValueError, gevent.Timeout) as error:
             log("peer_refused", peer=f"{remote[0]}:{remote[1]}", reason=str(error))
             sock.close()
             return
--- /dev/null
+++ b/tests/proxy/test_directory_reader.py
@@ -0,0 +1,136 @@
+"""The task that reads the platform: silent connections, and unexpected errors."""
+
+import unittest
+from unittest import mock
+
+import gevent
+from gevent.event import Event as Flag
+
+from pollenroad.exceptions import PlatformError
+from pollenroad.proxy import directory_reader
+from pollenroad.proxy.boundary import DirectoryChanged, DirectoryLost, DirectoryRead
+from pollenroad.proxy.directory import make_directory
+from pollenroad.proxy.directory_reader import DirectoryReader
+
+WAIT_S = 10.0
+"""Longest wait for something that takes milliseconds."""
+
+BRIEF_S = 0.01
+
+
+class FakePlatform:
+    """A platform whose long polls hang while `is_deaf` is set, and that a reader can probe."""
+
+    def __init__(self):
+        self.revision = 1
+        self.is_deaf = True
+        self.is_silent = False
+        self.errors: list[Exception] = []
+        """Raised by the next reads and long polls."""
+        self.polls = 0
+
+    def read(self) -> DirectoryRead:
+        if self.errors:
+            raise self.errors.pop()
+        return DirectoryRead(self.revision, None)
+
+    def changes(self, after: int, wait_s: float) -> DirectoryChanged:
+        self.polls += 1
+        if self.errors:
+            raise self.errors.pop()
+        while self.is_deaf or after >= self.revision:
+            gevent.sleep(BRIEF_S)
+            if wait_s < 1.0 and not self.is_deaf:
+                break
+        return DirectoryChanged(self.revision, (), after)
+
+    def probe(self) -> int:
+        if self.is_silent:
+            raise PlatformError("no answer in time")
+        return self.revision
+
+    def close(self) -> None:
+        """Nothing to close: a killed task ends its own request."""
+
+
+class DirectoryReaderTest(unittest.TestCase):
+    def setUp(self):
+        for name in ("PROBE_INTERVAL_S", "DEAF_AFTER_S", "RETRY_MIN_S", "BATCH_DELAY_S"):
+            patch = mock.patch.object(directory_reader, name, BRIEF_S)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.platform = FakePlatform()
+        self.directory = make_directory()
+        self.events = []
+        self.changed = Flag()
+        self.reader = DirectoryReader(self.platform, self.directory, self._post)
+
+    def _post(self, event):
+        self.events.append(event)
+        self.directory.handle(event, 0.0)
+        self.changed.set()
+
+    def _await(self, condition):
+        with gevent.Timeout(WAIT_S):
+            while not condition():
+                self.changed.clear()
+                self.changed.wait(BRIEF_S)
+
+    def _start(self):
+        self.reader.start()
+        self.reader.watch(True)
+        self._await(lambda: self.platform.polls == 1)
+
+    def test_a_long_poll_at_a_platform_that_was_silent_is_sent_again(self):
+        self._start()
+        self.platform.is_silent = True
+        self._await(lambda: isinstance(self.events[-1], DirectoryLost))
+        self.platform.revision = 2
+        self.platform.is_silent = self.platform.is_deaf = False
+        self._await(lambda: self.directory.revision == 2)
+        self.assertFalse(self.directory.is_lost)
+
+    def test_a_long_poll_that_misses_changes_is_sent_again(self):
+        self._start()
+        self.platform.revision = 2
+        self._await(lambda: self.platform.polls > 1)
+        self.platform.is_deaf = False
+        self._await(lambda: self.directory.revision == 2)
+
+    def test_an_open_long_poll_without_changes_is_left_alone(self):
+        self._start()
+        gevent.sleep(20 * BRIEF_S)
+        self.assertEqual(self.platform.polls, 1)
+        self.assertFalse(self.directory.is_lost)
+
+    def test_an_unexpected_error_does_not_end_the_reader(self):
+        self.platform.is_deaf = False
+        self.platform.errors = [ValueError("of a long poll"), ValueError("of the first read")]
+        self.reader.start()
+        self.reader.watch(True)
+        self._await(lambda: not self.platform.errors)
+        self.platform.revision = 2
+        self._await(lambda: self.directory.revision == 2)
+
+    def test_watching_that_stops_within_an_update_leaves_one_reader(self):
+        self._start()
+        self.platform.is_deaf = False
+        self.platform.revision = 2
+        real_post = self._post
+
+        def stop_watching(event):
+            real_post(event)
+            self.reader.watch(False)
+
+        self.reader._post = stop_watching
+        self._await(lambda: self.directory.revision == 2)
+        self.reader._post = real_post
+        polls = self.platform.polls
+        self.reader.watch(True)
+        self._await(lambda: self.platform.polls > polls)
+        gevent.sleep(5 * BRIEF_S)
+        self.assertEqual(self.platform.polls, polls + 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/users/server.py
+++ b/tests/users/server.py
@@ -8,6 +8,8 @@
 from tests.users.raw_http import answer_bytes, read_message
 from tests.users.store import StandInStore
 
+INFORMATIONAL_ANSWERS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 500
+
 
 class _Server(ThreadingTCPServer):
     allow_reuse_address = True
@@ -20,9 +22,12 @@
     Attributes:
         fault: Empty, or the fault of its answers: `cut`, `extra`, `unsigned`, `other`, `encoded`,
             `refuse` (503 that does not state that the request has not run), `shed` (503 that
-            states it), `error` (500), `reset`, `silent`, `unframed`.
+            states it), `error` (500), `reset`, `silent`, `unframed`, `endless` (informational
+            answers until the connection is closed), `late-copy` (each answer once more when the
+            next request has arrived).
         service_s: Service time in seconds, at a slowness of 100.
         slowness: Factor on the service time, in percent.
+        shed_ids: Ids of requests that are answered with the fault `shed`.
         runs: Number of runs of each request, by id.
         misdeliveries: Ids of requests that arrived without a deadline or a caller.
     """
@@ -40,6 +45,7 @@
         self.service_s = 0.005
         self.slowness = 100
         self.cold_until = 0.0
+        self.shed_ids: set[str] = set()
         self.runs: Counter[str] = Counter()
         self.arrived_at: list[float] = []
         self.callers: set[str] = set()
@@ -90,8 +96,11 @@
         self._server.server_close()
 
     def _serve(self, handler: StreamRequestHandler) -> None:
+        previous = b""
         while (message := read_message(handler.rfile)) is not None:
             first, headers, body = message
+            if self.fault == "late-copy":
+                handler.wfile.write(previous)
             method, path, _ = first.split()
             if path == "/healthz":
                 answer = self._health()
@@ -100,6 +109,7 @@
             if answer is None:
                 return
             handler.wfile.write(answer)
+            previous = answer
             if self.fault in ("cut", "unframed") and path != "/healthz":
                 return
 
@@ -119,7 +129,7 @@
         if "x-deadline-ms" not in headers or "x-caller-service" not in headers:
             self.incomplete_requests.append(attempt)
         self.callers.add(headers.get("x-caller-service", ""))
-        if self.fault == "shed":
+        if self.fault == "shed" or attempt in self.shed_ids:
             return answer_bytes(503, {"X-Not-Executed": "1"}, b"")
         with self._lock:
             self._running += 1
@@ -128,9 +138,9 @@
         time.sleep(self.service_s * self.slowness / 100)
         with self._lock:
             self._running -= 1
-        return self._answer(attempt, f"{method} {path} {len(body)}".encode())
+        return self._answer(handler, attempt, f"{method} {path} {len(body)}".encode())
 
-    def _answer(self, attempt: str, body: bytes) -> bytes | None:
+    def _answer(self, handler, attempt: str, body: bytes) -> bytes | None:
         fields = self._load() | {"X-Attempt-Id": attempt, "X-Response-Signature": f"sig.{attempt}"}
         whole = answer_bytes(200, fields, body)
         match self.fault:
@@ -152,6 +162,9 @@
                 return None
             case "silent":
                 time.sleep(30)
+            case "endless":
+                while True:
+                    handler.wfile.write(INFORMATIONAL_ANSWERS)
             case "unframed":
                 return answer_bytes(200, fields | {"Connection": "close"}, body, framed=False)
         return whole
--- a/tests/users/store.py
+++ b/tests/users/store.py
@@ -20,7 +20,7 @@
 
     Attributes:
         mode: Empty, or how the store is unavailable: `busy` answers 503, `silent` does not answer,
-            `reset` closes connections.
+            also later on the same connection, `reset` closes connections.
         calls: Number of received calls.
     """
 
@@ -91,9 +91,10 @@
             self.calls += 1
             if self.mode == "reset":
                 return
-            while self.mode == "silent":
-                time.sleep(0.05)
             status, body = (503, {}) if self.mode == "busy" else self._answer(message[0])
+            if self.mode == "silent":
+                handler.rfile.read()  # Returns when the reader closes the connection.
+                return
             fields = {"Content-Type": "application/json"}
             handler.wfile.write(answer_bytes(status, fields, json.dumps(body).encode()))
 
