--- a/tests/users/soak.py
+++ b/tests/users/soak.py
@@ -43,7 +43,10 @@
 NOT_RUN_STATUSES = ("408", "421", "429", "503")
 """Statuses that guarantee that the request has not run."""
 
-SERVER_FAULTS = ("cut", "extra", "unsigned", "encoded", "refuse", "shed", "error", "reset", "")
+SERVER_FAULTS = (
+    "cut", "extra", "unsigned", "encoded", "refuse", "shed", "error", "reset", "endless",
+    "late-copy", "",
+)  # fmt: skip
 LINK_FAULTS = ("delay", "silent", "one-way", "refuse", "")
 
 
