--- a/tests/proxy/test_proxy_relay.py
+++ b/tests/proxy/test_proxy_relay.py
@@ -138,6 +138,19 @@
         cores.handle(PeerReceived("x", update), self.fleet.now)
         self.assertEqual(cores.directory.configuration.version, 7)
 
+    def test_a_restarted_daemon_takes_nothing_old_from_peers_that_are_behind(self):
+        peer, behind = list(self.fleet.cores_by_peer)[:2]
+        gone, *rest = self.fleet.endpoints
+        old = self.fleet.cores_by_peer[behind]
+        restarted = Fleet(12).cores_by_peer[peer]
+        restarted.handle(read(*rest, revision=20, config=configuration(9)), 0.0)
+        (reply,) = of_kind(old.handle(PeerReceived(peer, AskDirectory()), 0.1), SendPeer)
+        restarted.handle(PeerReceived(behind, reply.message), 0.1)
+        restarted.handle(PeerReceived(behind, Bulletin(10, True)), 0.2)
+        known = {e.incarnation for e in restarted.directory.endpoints(SERVICE)}
+        self.assertNotIn(gone.incarnation, known)
+        self.assertEqual(restarted.directory.configuration.version, 9)
+
     def test_an_isolated_daemon_watches_by_itself(self):
         cores = Fleet(12).cores_by_peer["127.0.0.1:7000"]
         cores.handle(read(*self.fleet.endpoints), 0.0)
