Attempts that cannot start in time are refused on arrival, with a time to return

Cause: under overload a guard kept every attempt for its whole wait (a quarter of the remaining time) and refused it then; six guards in a row could use up a deadline. Retry-After was 0.3 s whatever the queue.

An attempt is refused at once if the work ahead of it takes longer than its wait even at the server's usual speed; the pause is the time in which the queue is started, spread by a quarter. Ruled out: the reported slowdown in that estimate, as it halves within 300 ms.

--- a/src/pollenroad/guard/admission.py
+++ b/src/pollenroad/guard/admission.py
@@ -160,6 +160,20 @@
             below_share if shortfall > 0 else min(heads, key=lambda head: _priority_key(head, now))
         )
 
+    def work_s(self) -> float:
+        """Return the usual service time of all attempts, in seconds."""
+        return sum(w.work_s for queue in self._waiting_by_class.values() for w in queue.values())
+
+    def work_ahead_s(self, waiting: WaitingAttempt, now: float) -> float:
+        """Return the usual service time, in seconds, of all that starts before a new attempt."""
+        key = _priority_key(waiting, now)
+        return sum(
+            other.work_s
+            for queue in self._waiting_by_class.values()
+            for other in queue.values()
+            if _priority_key(other, now) < key
+        )
+
     def trim(self, bound: int, service_s: float, now: float) -> list[WaitingAttempt]:
         """Remove and return the attempts not expected to start in time.
 
--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -22,6 +22,9 @@
 FULL = "full"
 """Refusal reason, on arrival: no slot is free, although the entry assumed one."""
 
+OVERLOADED = "overloaded"
+"""Refusal reason: the attempt cannot start in time."""
+
 PUSHBACK_REASONS = frozenset({SLOW, FULL})
 """Reasons of pushbacks: refusals because the entry assumed an outdated load."""
 
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -4,6 +4,7 @@
 endpoint. A request that was sent to the server may have run, unless the server states otherwise.
 """
 
+import random
 from collections.abc import Iterator
 
 from msgspec.structs import replace
@@ -39,12 +40,13 @@
     ServerSilent,
     TellLoad,
 )
-from pollenroad.proxy.calls import FULL, SLOW
+from pollenroad.proxy.calls import FULL, OVERLOADED, SLOW
 from pollenroad.proxy.cold_rate import NO_COLD_BOUND, ColdBound
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.health import CHECK_GAP_S, CHECK_TIMEOUT_S, MAX_FAILED_CHECKS, ServerHealth
 from pollenroad.proxy.load_reporting import STATE_BY_CLOSED_REASON, LoadReporter
 from pollenroad.proxy.local_server import LocalServer
+from pollenroad.proxy.overload import cannot_start, return_after_s
 from pollenroad.proxy.records import attempt_done, attempt_refused, attempt_started, guard_state
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
@@ -73,6 +75,7 @@
         self._policy = AdmissionPolicy(self._health, cold_bound)
         self._load_reporter = LoadReporter()
         self._timers = Timers()
+        self._rng = random.Random(server)
         self._is_stopping = False
         self._last_attempt_at = now
         self._last_state = ""
@@ -121,7 +124,7 @@
             case ServerSilent(reason):
                 yield from self._on_silent(reason)
             case DirectoryRead() | DirectoryChanged():
-                for waiting in self._queue.remove_if(self._is_other_incarnation):
+                for waiting in self._queue.remove_if(self.local.is_other):
                     yield from self._refuse(waiting, NOT_HERE, now)
             case StopRequested():
                 self._is_stopping = True
@@ -141,17 +144,17 @@
         self._last_attempt_at = now
         remaining_s = attempt.remaining_ms / 1000 - self._transit_times.transit_s(attempt, now)
         waiting = self._policy.make_waiting(peer, attempt, remaining_s, now)
-        reason = self._refusal(attempt, remaining_s, now)
-        if reason:
+        if reason := self._refusal(waiting, remaining_s, now):
             yield from self._refuse(waiting, reason, now)
             return
         self._queue.add(waiting)
         self._timers.set(("start", attempt.attempt_id), waiting.start_by)
 
-    def _refusal(self, attempt: Attempt, remaining_s: float, now: float) -> str:
+    def _refusal(self, waiting: WaitingAttempt, remaining_s: float, now: float) -> str:
+        attempt = waiting.attempt
         if reason := self.closed_reason():
             return reason
-        if self._is_other_incarnation(attempt):
+        if self.local.is_other(attempt):
             return NOT_HERE
         if remaining_s <= 0:
             return "deadline"
@@ -163,11 +166,10 @@
         is_full = self.in_flight + self.queued >= bound
         if attempt.assumed_slowdown and is_full and attempt.assumed_load < bound:
             return FULL
-        return ""
-
-    def _is_other_incarnation(self, attempt: Attempt) -> bool:
-        is_other = attempt.incarnation not in ("", self.local.incarnation)
-        return self.local.is_loaded and is_other
+        is_late = cannot_start(
+            self._queue.work_ahead_s(waiting, now), bound, waiting.start_by - now
+        )
+        return OVERLOADED if is_late else ""
 
     def _refuse(self, waiting: WaitingAttempt, reason: str, now: float) -> Iterator[Action]:
         attempt = waiting.attempt
@@ -175,6 +177,10 @@
         revision = self._directory.revision
         yield attempt_refused(waiting, reason, self._make_report(now), self._health, revision, now)
         answer = AttemptAnswer(attempt.attempt_id, Verdict.NOT_RUN.value, reason)
+        if reason == OVERLOADED:
+            slots = self._policy.bound(self.local.slots)
+            pause_s = return_after_s(self._queue.work_s(), slots, self._rng)
+            answer = replace(answer, retry_after_ms=pause_s * 1000)
         yield self._send(waiting.peer, answer, now)
 
     def _fill(self, now: float) -> Iterator[Action]:
@@ -227,8 +233,7 @@
         if self._queue.remove(attempt_id):
             self._timers.cancel(("start", attempt_id))
             return
-        running = self._running_attempts.get(attempt_id)
-        if running is not None and running.has_waiting_entry:
+        if (running := self._running_attempts.get(attempt_id)) and running.has_waiting_entry:
             yield self._cancel(attempt_id, running)
 
     def _on_entry_lost(self, peer: str) -> Iterator[Action]:
@@ -295,7 +300,7 @@
         if self._policy.is_slow and has_slot and self._try_acquire(now):
             yield from self._start(waiting, now)
             return
-        yield from self._refuse(waiting, "overloaded", now)
+        yield from self._refuse(waiting, OVERLOADED, now)
 
     def _on_deadline(self, attempt_id: str, now: float) -> Iterator[Action]:
         running = self._running_attempts.get(attempt_id)
--- a/src/pollenroad/proxy/local_server.py
+++ b/src/pollenroad/proxy/local_server.py
@@ -1,6 +1,7 @@
 """The server on this VM, as the directory describes it."""
 
 from pollenroad.guard.availability import LEAVING, NOT_HERE, OUT_OF_SERVICE
+from pollenroad.messages import Attempt
 from pollenroad.proxy.directory import Directory
 from pollenroad.published import RegisteredEndpoint, ServiceRules
 
@@ -61,6 +62,10 @@
             return OUT_OF_SERVICE
         return ""
 
+    def is_other(self, attempt: Attempt) -> bool:
+        """Return whether an attempt is for another incarnation than the one registered here."""
+        return self.is_loaded and attempt.incarnation not in ("", self.incarnation)
+
     def new_start(self) -> RegisteredEndpoint | None:
         """Return the endpoint if it has started since the last call, or None."""
         endpoint = self.endpoint
