A changed settings file takes effect whole, or names what needs a restart

Only service and server were applied; retry and cold-start bounds kept their old values, and failure domain, addresses and store seemed to be applied, as the daemon kept the new object for some uses and the old for others.

Change: all that can change while running does; the rest keeps its value and is named in settings_reloaded.

--- a/src/pollenroad/proxy/admission_policy.py
+++ b/src/pollenroad/proxy/admission_policy.py
@@ -46,7 +46,7 @@
 
     def __init__(self, health: ServerHealth, cold_bound: ColdBound):
         self._health = health
-        self._cold_bound = cold_bound
+        self.cold_bound = cold_bound
         self._service_times = ServiceTimes()
         self._concurrency = ConcurrencyBound()
         self._conditions_by_attempt: dict[str, _StartConditions] = {}
@@ -112,7 +112,7 @@
         Returns:
             0 if a request may start now, else the time until the next token, in seconds.
         """
-        rate_per_s = self._cold_bound.rate_per_s(declared_per_s)
+        rate_per_s = self.cold_bound.rate_per_s(declared_per_s)
         cold_limiter = self._health.cold_limiter
         if self._health.is_warm(now) or not rate_per_s or cold_limiter.try_acquire(rate_per_s, now):
             return 0.0
--- a/src/pollenroad/proxy/budgets.py
+++ b/src/pollenroad/proxy/budgets.py
@@ -48,6 +48,11 @@
         self._revision = -1
         self._entry_share = rules.per_entry(0)
 
+    def set_rules(self, rules: BudgetRules) -> None:
+        """Apply a changed bound."""
+        self._rules = rules
+        self._recompute_shares()
+
     def of(self, service: str, now: float) -> Budget:
         """Return the retry budget of a service."""
         if self._revision != self._directory.revision:
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -70,11 +70,13 @@
             location.server, location.service, self.directory, now, location.cold_bound
         )
 
-    def set_location(self, location: DaemonLocation) -> None:
-        """Apply the service and server address of changed settings."""
+    def reconfigure(self, location: DaemonLocation, rules: BudgetRules) -> None:
+        """Apply changed settings, but the address and failure domain of the daemon."""
         self.entry.set_caller(location.service)
+        self.entry.budgets.set_rules(rules)
         self.guard.local.service = location.service
         self.guard.local.address = location.server
+        self.guard.policy.cold_bound = location.cold_bound
 
     def next_due(self) -> float | None:
         """Return when `Tick` is next needed, in monotonic seconds."""
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import gevent
+import msgspec
 from gevent.event import Event as Flag
 
 from pollenroad.addresses import host_of
@@ -18,7 +19,7 @@
     StopRequested,
 )
 from pollenroad.exceptions import ConfigurationError
-from pollenroad.logs import log
+from pollenroad.logs import LOGGER, log
 from pollenroad.proxy.boundary import (
     Action,
     CheckServer,
@@ -67,6 +68,19 @@
 """Time between two checks of the settings file, in seconds: it may change without a signal."""
 
 
+RESTART_SETTINGS = (
+    "vm",
+    "failure_domain",
+    "call_address",
+    "peer_address",
+    "readiness_address",
+    "notice_port",
+    "metrics_port",
+    "directory",
+)
+"""Settings that take effect when the daemon starts; all others when the file is reloaded."""
+
+
 class ProxyDaemon:
     """One proxy: the cores and their sockets.
 
@@ -233,18 +247,30 @@
                 self.reload()
 
     def reload(self) -> None:
-        """Reload the settings file; an invalid file is logged and ignored."""
+        """Reload the settings file; an invalid file is logged and ignored.
+
+        Changed settings that need a restart are logged, and keep their values until then.
+        """
         self._settings_stamp = _file_stamp(self._settings_path)
         try:
             settings = load_proxy_settings(self._settings_path)
         except ConfigurationError as error:
             log("settings_refused", reason=str(error))
             return
+        kept = {name: getattr(self.settings, name) for name in RESTART_SETTINGS}
+        needs_restart = [name for name in kept if getattr(settings, name) != kept[name]]
+        settings = msgspec.structs.replace(settings, **kept)
         if settings.server != self.settings.server:
             self.upstream.set_server(settings.server)
         self.settings = settings
-        self.cores.set_location(_location(settings))
-        log("settings_reloaded", service=settings.service, server=settings.server)
+        self.cores.reconfigure(_location(settings), _budget_rules(settings))
+        LOGGER.setLevel(settings.log_level)
+        log(
+            "settings_reloaded",
+            service=settings.service,
+            server=settings.server,
+            needs_restart=needs_restart,
+        )
 
 
 def _file_stamp(path: str) -> tuple[int, int] | None:
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -60,7 +60,7 @@
         self._selector = EndpointSelector(incarnation, failure_domain, directory, rng)
         self.fleet = self._selector.fleet
         self._directory = directory
-        self._budgets = Budgets(rules, directory)
+        self.budgets = Budgets(rules, directory)
         self._splitter = Splitter()
         self._unrouted_by_id: dict[str, RequestArrived] = {}
         self._call_by_id: dict[str, OpenCall] = {}
@@ -119,7 +119,7 @@
             return
         call = make_open_call(arrived, route, self._splitter.service_of(route), now)
         self._call_by_id[arrived.call_id] = call
-        self._budgets.of(call.service, now).deposit()
+        self.budgets.of(call.service, now).deposit()
         self._timers.set(("end", arrived.call_id), call.deadline)
         yield from self._send(call, "first", now)
 
@@ -232,7 +232,7 @@
             return
         if call.can_retry(verdict, self._selector.latencies.usual_s(call.route), now):
             chosen = self._selector.select(call, now)
-            if chosen is not None and self._budgets.of(call.service, now).try_spend(now):
+            if chosen is not None and self.budgets.of(call.service, now).try_spend(now):
                 yield from self._send_to(call, *chosen, "retry", now)
                 return
         yield from self._finish(call, verdict, reason, now)
@@ -344,7 +344,7 @@
         (attempt_id,) = call.open_attempt_ids
         attempt = self._attempt_by_id[attempt_id]
         is_better = chosen is not None and self._selector.is_faster(call, attempt, chosen[1], now)
-        if is_better and self._budgets.of(call.service, now).try_spend(now):
+        if is_better and self.budgets.of(call.service, now).try_spend(now):
             yield from self._send_to(call, *chosen, "hedge", now)
             return
         self._timers.set(("look", call.arrived.call_id), now + RECHECK_S)
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -72,7 +72,7 @@
         self._seen = SeenAttempts()
         self._transit_times = TransitTimes()
         self._health = ServerHealth(now)
-        self._policy = AdmissionPolicy(self._health, cold_bound)
+        self.policy = AdmissionPolicy(self._health, cold_bound)
         self._load_reporter = LoadReporter()
         self._timers = Timers()
         self._rng = random.Random(server)
@@ -143,7 +143,7 @@
         self._load_reporter.attempted(host_of(peer), now)
         self._last_attempt_at = now
         remaining_s = attempt.remaining_ms / 1000 - self._transit_times.transit_s(attempt, now)
-        waiting = self._policy.make_waiting(peer, attempt, remaining_s, now)
+        waiting = self.policy.make_waiting(peer, attempt, remaining_s, now)
         if reason := self._refusal(waiting, remaining_s, now):
             yield from self._refuse(waiting, reason, now)
             return
@@ -160,9 +160,9 @@
             return "deadline"
         if self._health.is_down and not self.in_flight:
             return "server-down"
-        if self._health.is_fresh(now) and self._policy.is_slower_than_assumed(attempt):
+        if self._health.is_fresh(now) and self.policy.is_slower_than_assumed(attempt):
             return SLOW
-        bound = self._policy.bound(self.local.slots)
+        bound = self.policy.bound(self.local.slots)
         is_full = self.in_flight + self.queued >= bound
         if attempt.assumed_slowdown and is_full and attempt.assumed_load < bound:
             return FULL
@@ -178,23 +178,23 @@
         yield attempt_refused(waiting, reason, self._make_report(now), self._health, revision, now)
         answer = AttemptAnswer(attempt.attempt_id, Verdict.NOT_RUN.value, reason)
         if reason == OVERLOADED:
-            slots = self._policy.bound(self.local.slots)
+            slots = self.policy.bound(self.local.slots)
             pause_s = return_after_s(self._queue.work_s(), slots, self._rng)
             answer = replace(answer, retry_after_ms=pause_s * 1000)
         yield self._send(waiting.peer, answer, now)
 
     def _fill(self, now: float) -> Iterator[Action]:
         """Start waiting attempts while the server has a slot, is fast and within its cold rate."""
-        while self._queue and self.local.is_loaded and self._policy.has_slot(self.local.slots, now):
+        while self._queue and self.local.is_loaded and self.policy.has_slot(self.local.slots, now):
             if self._health.should_await_check(now):
                 yield from self._check(now)
                 self._timers.set(("fill", ""), self._health.check_wait_until())
                 return
-            if self._policy.is_slow:
+            if self.policy.is_slow:
                 yield from self._defer_until_fast(now)
                 return
             waiting = self._queue.peek(self.local.slots, now)
-            if self._policy.can_finish(waiting, now) and not self._try_acquire(now):
+            if self.policy.can_finish(waiting, now) and not self._try_acquire(now):
                 yield from self._check(now)
                 return
             self._queue.remove(waiting.attempt.attempt_id)
@@ -204,14 +204,14 @@
     def _try_acquire(self, now: float) -> bool:
         """Return whether a request may start, taking a token if needed; if not, set a timer."""
         rules = self.local.rules
-        wait_s = self._policy.acquire_or_wait_s(rules.cold_per_s if rules else 0.0, now)
+        wait_s = self.policy.acquire_or_wait_s(rules.cold_per_s if rules else 0.0, now)
         if wait_s:
             self._timers.set(("fill", ""), now + wait_s)
         return not wait_s
 
     def _defer_until_fast(self, now: float) -> Iterator[Action]:
         """Push back attempts that assumed a faster server; retry soon to start the others."""
-        for waiting in self._queue.remove_if(self._policy.is_slower_than_assumed):
+        for waiting in self._queue.remove_if(self.policy.is_slower_than_assumed):
             yield from self._refuse(waiting, SLOW, now)
         if self._queue:
             self._timers.set(("fill", ""), now + CHECK_GAP_S)
@@ -219,12 +219,12 @@
     def _start(self, waiting: WaitingAttempt, now: float) -> Iterator[Action]:
         attempt = waiting.attempt
         self._timers.cancel(("start", attempt.attempt_id))
-        if not self._policy.can_finish(waiting, now):
+        if not self.policy.can_finish(waiting, now):
             yield from self._refuse(waiting, "deadline", now)
             return
         self._timers.set(("deadline", attempt.attempt_id), waiting.deadline)
         self._running_attempts.start(waiting, now)
-        self._policy.started(attempt.attempt_id, self.local.slots, now)
+        self.policy.started(attempt.attempt_id, self.local.slots, now)
         yield attempt_started(waiting, self.in_flight, self._health, now)
         yield RunAtServer(attempt, waiting.deadline - now)
 
@@ -256,7 +256,7 @@
         running = self._running_attempts.end(attempt_id, now)
         self._timers.cancel(("deadline", attempt_id))
         attempt, elapsed_s = running.waiting.attempt, now - running.started
-        work_s = self._policy.ended(attempt, elapsed_s, is_success(answer), now)
+        work_s = self.policy.ended(attempt, elapsed_s, is_success(answer), now)
         answer = replace(answer, work_ms=work_s * 1000)
         yield attempt_done(running, answer, now)
         if running.has_waiting_entry:
@@ -296,8 +296,8 @@
 
     def _on_start_due(self, waiting: WaitingAttempt, now: float) -> Iterator[Action]:
         """Start or refuse an attempt whose latest start time has come."""
-        has_slot = self._policy.has_slot(self.local.slots, now)
-        if self._policy.is_slow and has_slot and self._try_acquire(now):
+        has_slot = self.policy.has_slot(self.local.slots, now)
+        if self.policy.is_slow and has_slot and self._try_acquire(now):
             yield from self._start(waiting, now)
             return
         yield from self._refuse(waiting, OVERLOADED, now)
@@ -324,7 +324,7 @@
         reason = self.closed_reason()
         state = STATE_BY_CLOSED_REASON.get(reason, "out") if reason else self._health.state(now)
         return self._load_reporter.report(
-            self.local, self._policy, self.in_flight, self.queued, state, self._health.slowdown
+            self.local, self.policy, self.in_flight, self.queued, state, self._health.slowdown
         )
 
     def _report_load(self, now: float) -> Iterator[Action]:
--- a/tests/proxy/test_proxy_entry.py
+++ b/tests/proxy/test_proxy_entry.py
@@ -148,9 +148,9 @@
             entry, actions = self._second("lookup", verdict, reached_server=reached)
             self.assertEqual(len(sent(actions)), 1)
             entry, actions = self._second("lookup", verdict, NO_RETRIES, reached_server=reached)
-            entry._budgets.of("registry", 0.0).tokens = 0.0
+            entry.budgets.of("registry", 0.0).tokens = 0.0
         entry = entry_with(endpoint(1), endpoint(2), budget=NO_RETRIES)
-        entry._budgets.of("registry", 0.0).tokens = 0.0
+        entry.budgets.of("registry", 0.0).tokens = 0.0
         (first,) = sent(entry.handle(arrived(), 0.0))
         actions = entry.handle(ended(first, "unknown", reached_server=True), 0.05)
         self.assertEqual(sent(actions), [])
@@ -162,7 +162,7 @@
             endpoints = [endpoint(n, guard=f"127.0.{n}.1:7000") for n in range(1, count + 1)]
             entry = entry_with(*endpoints, budget=rules)
             requests = spent = 0
-            budget = entry._budgets.of("registry", 0.0)
+            budget = entry.budgets.of("registry", 0.0)
             budget.tokens = budget.capacity
             for step in range(1000):
                 now = step / 100
--- a/tests/users/test_users_path.py
+++ b/tests/users/test_users_path.py
@@ -246,6 +246,19 @@
         await_condition(lambda: self._events("settings_refused"))
         path.write_text(json.dumps(self.fleet.settings(host) | {"service": "beta"}))
         await_condition(lambda: self._events("settings_reloaded"))
+        self.assertEqual(self._events("settings_reloaded")[-1]["needs_restart"], [])
         self._status(host, READ, "after")
         callers = {c for s in self.fleet.server_by_host.values() for c in s.callers}
         self.assertIn("beta", callers)
+
+    def test_settings_that_need_a_restart_are_named_and_keep_their_values(self):
+        host = self.fleet.hosts[0]
+        settings = self.fleet.settings(host) | {"notice_port": 1, "retry_ratio": 0.1}
+        text = json.dumps(settings)
+        for part in (text[: len(text) // 2], text):
+            self.fleet.path(host, "json").write_text(part)
+            self.fleet.signal(host, signal.SIGHUP)
+            name = "settings_reloaded" if part == text else "settings_refused"
+            await_condition(lambda name=name: self._events(name))
+        self.assertEqual(self._events("settings_reloaded")[-1]["needs_restart"], ["notice_port"])
+        self.assertEqual(self._status(host, READ, "reloaded"), 200)
