Only a silent guard is waited for; a link that was closed ends its requests at once

Change: PeerLost says whether the link ended for want of a response; only then does an unsafe request wait. Ruled out: load, as the test fails alone too. Before: 1 of 461 tests failed; after: it and the tests of entry and procedures pass (76).

--- a/src/pollenroad/boundary.py
+++ b/src/pollenroad/boundary.py
@@ -1,9 +1,8 @@
 """Interface of the cores: events as input, actions as output.
 
-`Entry`, `Guard`, `LimitOwner` and `Relay` do no I/O. Each has `handle(event, now) -> list[Action]`
-and `next_due() -> float | None`. The caller passes a monotonic time in seconds, performs the
-actions, and sends a `Tick` when the time of `next_due` is reached. The daemon drives the cores with
-sockets; the fuzzer, the trace replay and external harnesses use their own clock and network.
+The cores do no I/O. Each has `handle(event, now) -> list[Action]` and `next_due() -> float | None`.
+The caller passes a monotonic time in seconds, performs the actions, and sends a `Tick` at the time
+of `next_due`. The daemon drives the cores with sockets; fuzzer and replay use their own clock.
 """
 
 from collections.abc import Mapping
@@ -65,9 +64,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLost:
-    """The link to a peer broke. Whether the attempts sent over it ran is unknown."""
+    """The link to a peer broke, by want of a response if `is_silent`. Its attempts may have run."""
 
     peer: str
+    is_silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -12,9 +12,9 @@
 """Reason of attempts that were open when the connection to their guard broke."""
 
 LOST_ANSWER_WAIT_S = 3.0
-"""Time for which a request that must not run twice waits for its answer after the link to its guard
-broke, in seconds. A guard that was only silent finishes the request, and sends the answer over a
-new link; nobody else may run it meanwhile."""
+"""Time for which a request that must not run twice waits for its answer after its guard fell silent
+and the link broke, in seconds. The guard may finish the request, and sends the answer over a new
+link; nobody else may run it meanwhile."""
 
 SLOW = "slow"
 """Refusal reason: the server is slower than the entry assumed."""
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -99,8 +99,8 @@
                 yield from self._abandon(call_id, now)
             case AttemptUnsent(attempt_id):
                 yield from self._on_unsent(attempt_id, now)
-            case PeerLost(peer):
-                yield from self._on_peer_lost(peer, now)
+            case PeerLost(peer, is_silent):
+                yield from self._on_peer_lost(peer, is_silent, now)
             case DrainExpired():
                 yield from self._on_drain_expired(now)
             case Tick():
@@ -246,12 +246,13 @@
         yield attempt_ended(call, attempt_id, attempt, Verdict.NOT_RUN, "unreachable", now)
         yield from self._on_not_run(call, "", "unreachable", False, now)
 
-    def _on_peer_lost(self, peer: str, now: float) -> Iterator[Action]:
+    def _on_peer_lost(self, peer: str, is_silent: bool, now: float) -> Iterator[Action]:
         for view in self.fleet.views_behind(peer):
             view.unreachable(now)
         lost = [i for i, a in self._attempt_by_id.items() if a.view.endpoint.guard == peer]
         for attempt_id in lost:
-            if self._call_by_id[self._attempt_by_id[attempt_id].call_id].route.idempotent:
+            route = self._call_by_id[self._attempt_by_id[attempt_id].call_id].route
+            if route.idempotent or not is_silent:
                 yield from self._on_answer(AttemptAnswer(attempt_id, "unknown", PEER_LOST), now)
             else:
                 self._timers.set(("lost", attempt_id), now + LOST_ANSWER_WAIT_S)
@@ -341,8 +342,7 @@
         if len(call.open_attempt_ids) != 1 or call.attempts >= call.route.max_attempts:
             return
         chosen = self._selector.select(call, now)
-        (attempt_id,) = call.open_attempt_ids
-        attempt = self._attempt_by_id[attempt_id]
+        attempt = self._attempt_by_id[next(iter(call.open_attempt_ids))]
         is_better = chosen is not None and self._selector.is_faster(call, attempt, chosen[1], now)
         if is_better and self.budgets.of(call.service, now).try_spend(now):
             yield from self._send_to(call, *chosen, "hedge", now)
--- a/src/pollenroad/shell/peers.py
+++ b/src/pollenroad/shell/peers.py
@@ -89,8 +89,8 @@
 
     def __init__(self, sock, stream, hello: Hello, on_closed: Callable, meter: CostMeter):
         self.peer = hello.address
-        self.end_reason = "closed"
-        """Reason for the end of the link, for the log."""
+        self.end_error: OSError | None = None
+        """Error that ended the link; None if it was closed."""
         self._uses_compression = hello.protocol >= COMPRESSED_PROTOCOL
         self._meter = meter
         self._sock = sock
@@ -148,7 +148,7 @@
                     self._wake.clear()
                     self._wake.wait()
         except OSError as error:
-            self.end_reason = str(error)
+            self.end_error = error
             self.close()
 
     def _write_next(self) -> None:
@@ -168,7 +168,7 @@
         except PeerError as error:
             log("peer_refused", peer=self.peer, reason=str(error))
         except OSError as error:
-            self.end_reason = str(error)
+            self.end_error = error
         finally:
             self.close()
 
@@ -299,9 +299,9 @@
     def _on_dialled_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._dialled_by_peer.get(link.peer) is link:
             del self._dialled_by_peer[link.peer]
-        log("peer_lost", peer=link.peer, reason=link.end_reason)
+        log("peer_lost", peer=link.peer, reason=str(link.end_error or "closed"))
         self._post_unsent(unsent)
-        self._post(PeerLost(link.peer))
+        self._post(PeerLost(link.peer, isinstance(link.end_error, TimeoutError)))
 
     def _post_unsent(self, messages: list[PeerMessage]) -> None:
         for message in messages:
@@ -346,5 +346,5 @@
     def _on_accepted_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
         if self._accepted_by_peer.get(link.peer) is link:
             del self._accepted_by_peer[link.peer]
-            log("entry_lost", peer=link.peer, reason=link.end_reason)
+            log("entry_lost", peer=link.peer, reason=str(link.end_error or "closed"))
             self._on_entry_lost(link.peer)
