--- a/tests/proxy/test_endless_streams.py
+++ b/tests/proxy/test_endless_streams.py
@@ -12,9 +12,6 @@
 
 CONNECT_TIMEOUT_S = 5.0
 EXCHANGE_TIMEOUT_S = 3.0
-MAX_TURNS_BETWEEN_TICKS = 60
-"""Turns of the ticking task while a stream is read; each shows that the loop was not stopped."""
-
 MEMORY_SLACK_BYTES = 2_097_152
 STATED_BODY_BYTES = 2 * 8_388_608
 """A body exists twice when it is complete: in the parser's buffer and in the answer."""
