--- a/src/pollenroad/proxy/admission_policy.py
+++ b/src/pollenroad/proxy/admission_policy.py
@@ -2,13 +2,14 @@
 
 from dataclasses import dataclass
 
-from pollenroad.guard.admission import WaitingAttempt
+from pollenroad.guard.admission import AdmissionQueue, WaitingAttempt
 from pollenroad.messages import Attempt
 from pollenroad.models import RequestClass
-from pollenroad.proxy.calls import FINISH_SHARE
+from pollenroad.proxy.calls import FINISH_SHARE, FULL, OVERLOADED, SERVER_DOWN, SLOW
 from pollenroad.proxy.cold_rate import ColdBound
 from pollenroad.proxy.concurrency import ConcurrencyBound, uncontended_slots
 from pollenroad.proxy.health import SLOW_FACTOR, ServerHealth
+from pollenroad.proxy.overload import cannot_start
 from pollenroad.proxy.service_times import ServiceTimes
 
 PUSHBACK_FACTOR = 2.0
@@ -81,6 +82,23 @@
         work_s = self._service_times.usual_s(attempt.request_class)
         return attempt.usual_ms / 1000 if work_s is None else work_s
 
+    def refusal(
+        self, waiting: WaitingAttempt, queue: AdmissionQueue, slots: int, now: float
+    ) -> str:
+        """Return the reason to refuse an attempt on arrival, or an empty string to queue it."""
+        attempt = waiting.attempt
+        if self._health.is_down and not self._conditions_by_attempt:
+            return SERVER_DOWN
+        if self._health.is_fresh(now) and self.is_slower_than_assumed(attempt):
+            return SLOW
+        bound = self.bound(slots)
+        is_full = len(self._conditions_by_attempt) + len(queue) >= bound
+        if attempt.assumed_slowdown and is_full and attempt.assumed_load < bound:
+            return FULL
+        longest_wait_s = waiting.start_by - now
+        is_late = cannot_start(queue.work_ahead_s(waiting, now), bound, longest_wait_s)
+        return OVERLOADED if is_late else ""
+
     # --- The server ---
 
     @property
--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -25,6 +25,9 @@
 OVERLOADED = "overloaded"
 """Refusal reason: the attempt cannot start in time."""
 
+SERVER_DOWN = "server-down"
+"""Refusal reason: the server has not answered its last health checks."""
+
 PUSHBACK_REASONS = frozenset({SLOW, FULL})
 """Reasons of pushbacks: refusals because the entry assumed an outdated load."""
 
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -40,13 +40,13 @@
     ServerSilent,
     TellLoad,
 )
-from pollenroad.proxy.calls import FULL, OVERLOADED, SLOW
+from pollenroad.proxy.calls import OVERLOADED, SLOW
 from pollenroad.proxy.cold_rate import NO_COLD_BOUND, ColdBound
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.health import CHECK_GAP_S, CHECK_TIMEOUT_S, MAX_FAILED_CHECKS, ServerHealth
 from pollenroad.proxy.load_reporting import STATE_BY_CLOSED_REASON, LoadReporter
 from pollenroad.proxy.local_server import LocalServer
-from pollenroad.proxy.overload import cannot_start, return_after_s
+from pollenroad.proxy.overload import return_after_s
 from pollenroad.proxy.records import attempt_done, attempt_refused, attempt_started, guard_state
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
@@ -158,18 +158,7 @@
             return NOT_HERE
         if remaining_s <= 0:
             return "deadline"
-        if self._health.is_down and not self.in_flight:
-            return "server-down"
-        if self._health.is_fresh(now) and self.policy.is_slower_than_assumed(attempt):
-            return SLOW
-        bound = self.policy.bound(self.local.slots)
-        is_full = self.in_flight + self.queued >= bound
-        if attempt.assumed_slowdown and is_full and attempt.assumed_load < bound:
-            return FULL
-        is_late = cannot_start(
-            self._queue.work_ahead_s(waiting, now), bound, waiting.start_by - now
-        )
-        return OVERLOADED if is_late else ""
+        return self.policy.refusal(waiting, self._queue, self.local.slots, now)
 
     def _refuse(self, waiting: WaitingAttempt, reason: str, now: float) -> Iterator[Action]:
         attempt = waiting.attempt
