Guards log what their server states about itself: its limit, and that it leaves

No log line or metric told a limit that is not read from one that is applied by each entry or known too late.

--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -84,6 +84,13 @@
         312, "server_cold", logging.INFO, "The server, or its registration, states that it is cold."
     ),
     CatalogueEntry(313, "server_silent", logging.WARNING, "Health checks were not answered."),
+    CatalogueEntry(
+        314,
+        "server_limit",
+        logging.INFO,
+        "The limit that the server states in its answers changed.",
+    ),
+    CatalogueEntry(315, "server_leaving", logging.INFO, "The server states that it leaves."),
     CatalogueEntry(400, "peer_connected", logging.DEBUG, "A link to a peer was opened."),
     CatalogueEntry(
         401, "peer_lost", logging.INFO, "A link to a peer broke or could not be opened."
--- /dev/null
+++ b/src/pollenroad/proxy/advertised.py
@@ -0,0 +1,68 @@
+"""What a server states about itself in its answers: a limit on its requests, and that it leaves."""
+
+import re
+from dataclasses import dataclass
+
+_DECIMAL = re.compile(r"(\d+(\.\d*)?|\.\d+)", re.ASCII)
+
+
+@dataclass(frozen=True, slots=True)
+class Unlimited:
+    """The server states no limit."""
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """The server takes only so many requests, from all daemons together."""
+
+    per_s: float
+    """Requests a second."""
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableLimit:
+    """The server states a limit that is not a decimal number; the one before it remains."""
+
+    text: str
+
+
+StatedLimit = Unlimited | RateLimit | UnreadableLimit
+
+UNLIMITED = Unlimited()
+
+
+def parse_limit(text: str) -> StatedLimit:
+    """Parse the value of a limit field; empty if the field is missing."""
+    stripped = text.strip()
+    if not stripped:
+        return UNLIMITED
+    if not _DECIMAL.fullmatch(stripped):
+        return UnreadableLimit(stripped)
+    return RateLimit(float(stripped))
+
+
+class Advertised:
+    """What one server last stated about itself; forgotten when it restarts."""
+
+    def __init__(self):
+        self.limit_per_s: float | None = None
+        """Requests a second that the server takes, or None if it states no limit."""
+        self.unreadable = ""
+        """Text of the last limit if it was unreadable."""
+        self.is_leaving = False
+
+    def observe(self, limit: StatedLimit, is_leaving: bool) -> None:
+        """Apply the statements of an answer; an unreadable limit changes nothing."""
+        self.is_leaving = is_leaving
+        self.unreadable = ""
+        match limit:
+            case RateLimit(per_s):
+                self.limit_per_s = per_s
+            case Unlimited():
+                self.limit_per_s = None
+            case UnreadableLimit(text):
+                self.unreadable = text
+
+    def reset(self) -> None:
+        """Forget everything, as after a restart of the server."""
+        self.limit_per_s, self.unreadable, self.is_leaving = None, "", False
--- a/src/pollenroad/proxy/boundary.py
+++ b/src/pollenroad/proxy/boundary.py
@@ -5,6 +5,7 @@
 
 from pollenroad import boundary as calls
 from pollenroad.messages import LoadReport, Request
+from pollenroad.proxy.advertised import UNLIMITED, StatedLimit
 from pollenroad.published import Configuration, DomainOut, RegisteredEndpoint
 
 
@@ -57,6 +58,17 @@
     """Whether this is a health response, which also states whether the server is cold."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerAdvertised:
+    """What the server beside the guard stated about itself in an answer or a health response."""
+
+    incarnation: str
+    """Incarnation that answered; empty if it is not known."""
+    limit: StatedLimit = UNLIMITED
+    is_leaving: bool = False
+    is_health: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class ServerSilent:
     """A health check of the server beside the guard got no answer."""
@@ -118,6 +130,7 @@
     | EntryLost
     | DrainExpired
     | ServerSeen
+    | ServerAdvertised
     | ServerSilent
     | DirectoryRead
     | DirectoryChanged
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -26,6 +26,7 @@
     Event,
     LoadHeard,
     RequestArrived,
+    ServerAdvertised,
     ServerSeen,
     ServerSilent,
 )
@@ -114,7 +115,9 @@
                 return self.entry.handle(event, now)
             case PeerReceived() | EntryLost() | StopRequested():
                 return self.guard.handle(event, now)
-            case ServerAnswered() | ServerFailed() | ServerShed() | ServerSeen() | ServerSilent():
+            case ServerAnswered() | ServerFailed() | ServerShed():
+                return self.guard.handle(event, now)
+            case ServerSeen() | ServerAdvertised() | ServerSilent():
                 return self.guard.handle(event, now)
             case Tick():
                 actions = [*self.directory.drop_lapsed(now), *self.relay.handle(event, now)]
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -184,6 +184,7 @@
             "server_in_flight_requests": self.cores.guard.in_flight,
             "server_queued_requests": self.cores.guard.queued,
             "directory_revision": self.cores.directory.revision,
+            "server_limit_per_s": self.cores.guard.limit_per_s,
         }
         return 200, CONTENT_TYPE, self.metrics.text(gauge_by_name)
 
--- a/src/pollenroad/proxy/dialect.py
+++ b/src/pollenroad/proxy/dialect.py
@@ -28,6 +28,12 @@
     """Service on the VM from which the request came."""
     cold_ms: str = "Pollenroad-Cold-Ms"
     """Time until the server is warm, in milliseconds."""
+    limit: str = "Pollenroad-Limit"
+    """Requests a second that the server takes from all daemons together."""
+    leaving: str = "Pollenroad-Leaving"
+    """Marks the answers of a server that is about to stop."""
+    incarnation: str = "Pollenroad-Incarnation"
+    """Incarnation of the server, in its health responses."""
 
     @property
     def reserved_fields(self) -> frozenset[str]:
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -14,7 +14,6 @@
     Action,
     CancelAtServer,
     PeerReceived,
-    Record,
     RunAtServer,
     SendPeer,
     ServerAnswered,
@@ -31,11 +30,11 @@
 from pollenroad.proxy.admission_policy import AdmissionPolicy
 from pollenroad.proxy.answers import answer_of, is_success
 from pollenroad.proxy.boundary import (
-    CheckServer,
     DirectoryChanged,
     DirectoryRead,
     EntryLost,
     Event,
+    ServerAdvertised,
     ServerSeen,
     ServerSilent,
     TellLoad,
@@ -43,11 +42,17 @@
 from pollenroad.proxy.calls import OVERLOADED, SLOW
 from pollenroad.proxy.cold_rate import NO_COLD_BOUND, ColdBound
 from pollenroad.proxy.directory import Directory
-from pollenroad.proxy.health import CHECK_GAP_S, CHECK_TIMEOUT_S, MAX_FAILED_CHECKS, ServerHealth
+from pollenroad.proxy.health import CHECK_GAP_S
 from pollenroad.proxy.load_reporting import STATE_BY_CLOSED_REASON, LoadReporter
 from pollenroad.proxy.local_server import LocalServer
 from pollenroad.proxy.overload import return_after_s
-from pollenroad.proxy.records import attempt_done, attempt_refused, attempt_started, guard_state
+from pollenroad.proxy.records import (
+    attempt_done,
+    attempt_refused,
+    attempt_started,
+    guard_state,
+)
+from pollenroad.proxy.server_status import ServerStatus
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
 
@@ -71,7 +76,8 @@
         self._running_attempts = RunningAttempts(shares)
         self._seen = SeenAttempts()
         self._transit_times = TransitTimes()
-        self._health = ServerHealth(now)
+        self._status = ServerStatus(self.local, now)
+        self._health = self._status.health
         self.policy = AdmissionPolicy(self._health, cold_bound)
         self._load_reporter = LoadReporter()
         self._timers = Timers()
@@ -93,6 +99,12 @@
         """Number of attempts that wait for a slot."""
         return len(self._queue)
 
+    @property
+    def limit_per_s(self) -> float:
+        """Requests a second that the server takes, or infinity if it states no limit."""
+        limit_per_s = self._status.advertised.limit_per_s
+        return float("inf") if limit_per_s is None else limit_per_s
+
     def next_due(self) -> float | None:
         """Return when `Tick` is next needed, in monotonic seconds."""
         return self._timers.next_due()
@@ -106,7 +118,7 @@
     def handle(self, event: Event, now: float) -> list[Action]:
         """Process one event and return the actions to perform."""
         self._transit_times.observe_pause(now)
-        restarts = self._detect_restart(now)
+        restarts = self._status.detect_restart(now)
         return [*restarts, *self._actions(event, now), *self._fill(now), *self._report_load(now)]
 
     def _actions(self, event: Event, now: float) -> Iterator[Action]:
@@ -120,9 +132,11 @@
             case ServerAnswered() | ServerFailed() | ServerShed():
                 yield from self._end(answer_of(event), now)
             case ServerSeen():
-                yield from self._on_seen(event, now)
+                yield from self._status.on_seen(event, now)
+            case ServerAdvertised():
+                yield from self._status.on_advertised(event, self.closed_reason())
             case ServerSilent(reason):
-                yield from self._on_silent(reason)
+                yield from self._status.on_silent(reason)
             case DirectoryRead() | DirectoryChanged():
                 for waiting in self._queue.remove_if(self.local.is_other):
                     yield from self._refuse(waiting, NOT_HERE, now)
@@ -214,7 +228,8 @@
         self._timers.set(("deadline", attempt.attempt_id), waiting.deadline)
         self._running_attempts.start(waiting, now)
         self.policy.started(attempt.attempt_id, self.local.slots, now)
-        yield attempt_started(waiting, self.in_flight, self._health, now)
+        limit_per_s = self._status.advertised.limit_per_s
+        yield attempt_started(waiting, self.in_flight, self._health, limit_per_s, now)
         yield RunAtServer(attempt, waiting.deadline - now)
 
     def _on_cancel(self, attempt_id: str, now: float) -> Iterator[Action]:
@@ -254,21 +269,6 @@
     def _send(self, peer: str, answer: AttemptAnswer, now: float) -> Action:
         return SendPeer(peer, replace(answer, load=self._make_report(now)))
 
-    # --- The server ---
-
-    def _on_seen(self, seen: ServerSeen, now: float) -> Iterator[Action]:
-        if self._health.observe(seen, now):
-            yield Record("server_cold", (("cold_s", seen.cold_s), ("source", "server")))
-
-    def _on_silent(self, reason: str) -> Iterator[Action]:
-        if self._health.check_failed():
-            yield Record("server_silent", (("reason", reason), ("checks", MAX_FAILED_CHECKS)))
-
-    def _detect_restart(self, now: float) -> Iterator[Action]:
-        endpoint = self.local.new_start()
-        if endpoint is not None and self._health.restarted(endpoint.cold_s, now):
-            yield Record("server_cold", (("cold_s", endpoint.cold_s), ("source", "registration")))
-
     # --- Time ---
 
     def _on_tick(self, now: float) -> Iterator[Action]:
@@ -300,12 +300,7 @@
         yield self._send(running.waiting.peer, answer, now)
 
     def _check(self, now: float) -> Iterator[Action]:
-        rules = self.local.rules
-        has_waiting = bool(self._queue)
-        if rules is None or not self._health.is_check_due(now, self._last_attempt_at, has_waiting):
-            return
-        self._health.check_sent(now)
-        yield CheckServer(rules.health_path, CHECK_TIMEOUT_S)
+        yield from self._status.check(self._last_attempt_at, bool(self._queue), now)
 
     # --- Load ---
 
--- a/src/pollenroad/proxy/records.py
+++ b/src/pollenroad/proxy/records.py
@@ -4,7 +4,8 @@
 from pollenroad.guard.admission import WaitingAttempt
 from pollenroad.guard.running_attempts import RunningAttempt
 from pollenroad.messages import Attempt, AttemptAnswer, LoadReport
-from pollenroad.proxy.boundary import RequestArrived
+from pollenroad.proxy.advertised import Advertised
+from pollenroad.proxy.boundary import RequestArrived, ServerAdvertised
 from pollenroad.proxy.calls import OpenAttempt, OpenCall
 from pollenroad.proxy.fleet import EndpointView
 from pollenroad.proxy.health import ServerHealth
@@ -113,7 +114,11 @@
 
 
 def attempt_started(
-    waiting: WaitingAttempt, in_flight: int, health: ServerHealth, now: float
+    waiting: WaitingAttempt,
+    in_flight: int,
+    health: ServerHealth,
+    limit_per_s: float | None,
+    now: float,
 ) -> Record:
     """Return the record of an attempt that is started at the server."""
     fields = (
@@ -125,6 +130,7 @@
         ("slowdown", round(health.slowdown, 2)),
         ("seen_age_ms", age_ms(health.age_s(now))),
         ("cold", health.is_cold(now)),
+        ("limit_per_s", limit_per_s),
     )
     return Record("attempt_started", fields)
 
@@ -143,6 +149,39 @@
     return Record("attempt_done", fields)
 
 
+def server_limit(
+    event: ServerAdvertised, advertised: Advertised, before_per_s: float | None
+) -> Record:
+    """Return the record of a limit that the server states, ends, or states unreadably."""
+    fields = (
+        ("limit_per_s", advertised.limit_per_s),
+        ("before_per_s", before_per_s),
+        ("unreadable", advertised.unreadable),
+        ("source", source_of(event)),
+    )
+    return Record("server_limit", fields)
+
+
+def server_leaving(event: ServerAdvertised, closed_reason: str) -> Record:
+    """Return the record that the server states that it leaves, or no longer does.
+
+    Args:
+        event: The statement.
+        closed_reason: Why its guard takes no new work; empty if the guard does.
+    """
+    fields = (
+        ("leaving", event.is_leaving),
+        ("closed", closed_reason),
+        ("source", source_of(event)),
+    )
+    return Record("server_leaving", fields)
+
+
+def source_of(event: ServerAdvertised) -> str:
+    """Return the kind of answer that carried a statement of the server."""
+    return "health" if event.is_health else "answer"
+
+
 def server_slow(report: LoadReport) -> Record:
     """Return the record of a report that an endpoint has become slow."""
     fields = (("endpoint", report.endpoint), ("slowdown", round(report.slowdown, 2)))
--- /dev/null
+++ b/src/pollenroad/proxy/server_status.py
@@ -0,0 +1,69 @@
+"""What a guard knows of the server on its VM from its health checks and answers."""
+
+from collections.abc import Iterator
+
+from pollenroad.boundary import Action, Record
+from pollenroad.proxy.advertised import Advertised
+from pollenroad.proxy.boundary import CheckServer, ServerAdvertised, ServerSeen
+from pollenroad.proxy.health import CHECK_TIMEOUT_S, MAX_FAILED_CHECKS, ServerHealth
+from pollenroad.proxy.local_server import LocalServer
+from pollenroad.proxy.records import server_leaving, server_limit
+
+
+class ServerStatus:
+    """Health, speed and statements of one server, and the checks that ask for them."""
+
+    def __init__(self, local: LocalServer, now: float):
+        self._local = local
+        self.health = ServerHealth(now)
+        self.advertised = Advertised()
+
+    def on_seen(self, seen: ServerSeen, now: float) -> Iterator[Action]:
+        """Record the status that the server reported."""
+        if self.health.observe(seen, now):
+            yield Record("server_cold", (("cold_s", seen.cold_s), ("source", "server")))
+
+    def on_silent(self, reason: str) -> Iterator[Action]:
+        """Record a health check without an answer."""
+        if self.health.check_failed():
+            yield Record("server_silent", (("reason", reason), ("checks", MAX_FAILED_CHECKS)))
+
+    def on_advertised(self, event: ServerAdvertised, closed_reason: str) -> Iterator[Action]:
+        """Record what the server stated about itself.
+
+        Args:
+            event: The statement.
+            closed_reason: Why the guard takes no new work; empty if it does.
+        """
+        if event.incarnation not in ("", self._local.incarnation):
+            return
+        advertised = self.advertised
+        before, was_leaving = (advertised.limit_per_s, advertised.unreadable), advertised.is_leaving
+        advertised.observe(event.limit, event.is_leaving)
+        if (advertised.limit_per_s, advertised.unreadable) != before:
+            yield server_limit(event, advertised, before[0])
+        if event.is_leaving != was_leaving:
+            yield server_leaving(event, closed_reason)
+
+    def detect_restart(self, now: float) -> Iterator[Action]:
+        """Forget the status of an earlier start of the server."""
+        endpoint = self._local.new_start()
+        if endpoint is None:
+            return
+        self.advertised.reset()
+        if self.health.restarted(endpoint.cold_s, now):
+            yield Record("server_cold", (("cold_s", endpoint.cold_s), ("source", "registration")))
+
+    def check(self, last_attempt_at: float, has_waiting: bool, now: float) -> Iterator[Action]:
+        """Send a health check if one is due.
+
+        Args:
+            last_attempt_at: When the last attempt arrived, in monotonic seconds.
+            has_waiting: Whether attempts wait for a start.
+            now: Monotonic time in seconds.
+        """
+        rules = self._local.rules
+        if rules is None or not self.health.is_check_due(now, last_attempt_at, has_waiting):
+            return
+        self.health.check_sent(now)
+        yield CheckServer(rules.health_path, CHECK_TIMEOUT_S)
--- a/src/pollenroad/proxy/upstream.py
+++ b/src/pollenroad/proxy/upstream.py
@@ -16,7 +16,8 @@
 from pollenroad.headers import end_to_end
 from pollenroad.logs import log
 from pollenroad.messages import Attempt, Response
-from pollenroad.proxy.boundary import Event, ServerSeen, ServerSilent
+from pollenroad.proxy.advertised import UNLIMITED, parse_limit
+from pollenroad.proxy.boundary import Event, ServerAdvertised, ServerSeen, ServerSilent
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.proxy.http1 import ClientConnection
 from pollenroad.proxy.reply_parser import Reply
@@ -36,6 +37,9 @@
 """Statuses from which a caller concludes that the request has not run. Without proof of it they are
 failures, and not forwarded."""
 
+LEAVING_VALUE = "1"
+"""Value of the field with which a server states that it leaves."""
+
 MISDIRECTED = 421
 """Status of a server that is not the expected incarnation; the request has not run."""
 
@@ -56,6 +60,8 @@
         self._idle: deque[tuple[float, ClientConnection]] = deque()
         self._health_connection: ClientConnection | None = None
         self._task_by_attempt: dict[str, gevent.Greenlet] = {}
+        self._advertised = False
+        """Whether the last answer stated a limit, or that the server leaves."""
 
     # --- What the daemon calls ---
 
@@ -119,6 +125,7 @@
             lambda reply: self._is_stale(reply, attempt),
         )
         self._post_load(reply)
+        self._post_advertised(reply, attempt.incarnation, is_health=False)
         return self._classify(attempt, reply)
 
     def _exchange(self, connection: ClientConnection, *request) -> Reply:
@@ -201,6 +208,7 @@
         try:
             with gevent.Timeout(timeout_s):
                 reply = self._exchange_health(path)
+            self._post_advertised(reply, reply.header(self._dialect.incarnation), is_health=True)
             event = self._server_seen(reply, is_health=True)
         except gevent.Timeout:
             event = ServerSilent("no answer in time")
@@ -242,6 +250,15 @@
         if reply.header(self._dialect.load):
             self._post(self._server_seen(reply, is_health=False))
 
+    def _post_advertised(self, reply: Reply, incarnation: str, is_health: bool) -> None:
+        """Post what the server states about itself, or that it no longer does."""
+        limit = parse_limit(reply.header(self._dialect.limit))
+        is_leaving = reply.header(self._dialect.leaving) == LEAVING_VALUE
+        advertises = is_leaving or limit != UNLIMITED
+        if advertises or self._advertised:
+            self._advertised = advertises
+            self._post(ServerAdvertised(incarnation, limit, is_leaving, is_health))
+
     def _server_seen(self, reply: Reply, is_health: bool) -> ServerSeen:
         running, waiting, slowdown = parse_load(reply.header(self._dialect.load))
         cold = reply.header(self._dialect.cold_ms)
