A guard keeps the limit that its server states, for all daemons together

Cause: the field was passed on with the answer and read by nobody. A guard bounded starts by slots, cold rate and speed only. Ruled out: requests past the guard, a limit per entry, late knowledge.

Why this works: all requests to a server pass through its guard, which now starts them by a token bucket of the stated rate. Restarted guards take the limit that entries know and start one request at a time until the server has answered. What has no room in time is refused on arrival as not run; entries add the wait to an endpoint's cost, so that room elsewhere is used first, and do not hedge there.

--- a/src/pollenroad/commands/bench.py
+++ b/src/pollenroad/commands/bench.py
@@ -18,6 +18,7 @@
     "faults",
     "capacity",
     "noise",
+    "server-limit",
 )
 
 
@@ -26,7 +27,7 @@
 
     Args:
         name: added-latency, peer-link, tail, overload, failure-domain, measuring, limits, config,
-            membership, faults, capacity or noise.
+            membership, faults, capacity, noise or server-limit.
         json: Print the result as one JSON object on the last line.
         seed: Seed of the load and of the faults.
         out: File to which the JSON is also written, for `pollenroad report`.
--- a/src/pollenroad/guard/admission.py
+++ b/src/pollenroad/guard/admission.py
@@ -160,6 +160,16 @@
             below_share if shortfall > 0 else min(heads, key=lambda head: _priority_key(head, now))
         )
 
+    def in_order(self, now: float) -> list[WaitingAttempt]:
+        """Return all attempts, those that start first in front."""
+        waiting = (w for queue in self._waiting_by_class.values() for w in queue.values())
+        return sorted(waiting, key=lambda w: _priority_key(w, now))
+
+    def count_ahead(self, waiting: WaitingAttempt, now: float) -> int:
+        """Return how many attempts start before a new one."""
+        key = _priority_key(waiting, now)
+        return sum(_priority_key(other, now) < key for other in self.in_order(now))
+
     def work_s(self) -> float:
         """Return the usual service time of all attempts, in seconds."""
         return sum(w.work_s for queue in self._waiting_by_class.values() for w in queue.values())
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -69,6 +69,11 @@
     """Increases with each report of this guard, so that receivers can ignore outdated reports."""
     slowdown: float = 1.0
     """Current service time of the server as a multiple of the usual one."""
+    limit_per_s: float | None = None
+    """Requests a second that the server takes from all daemons together; None if it states none."""
+    limit_wait_ms: float = 0.0
+    """Time until a new attempt may start within that limit, in milliseconds; negative if there is
+    room for more than one."""
 
 
 class Attempt(Message, tag="attempt"):
@@ -114,6 +119,10 @@
     """Requests running and waiting at the server, as the entry assumed."""
     usual_ms: float = 0.0
     """Usual service time of such a request, in milliseconds, as estimated by the entry."""
+    assumed_wait_ms: float = 0.0
+    """Wait for room within the server's stated limit that the entry assumed, in milliseconds."""
+    known_limit_per_s: float | None = None
+    """Limit of the server that the entry heard last, for a guard that has not heard from it yet."""
 
 
 class AttemptAnswer(Message, tag="answer"):
--- a/src/pollenroad/proxy/admission_policy.py
+++ b/src/pollenroad/proxy/admission_policy.py
@@ -1,15 +1,18 @@
 """Admission policy of a guard: when a waiting attempt may start at the server."""
 
+import random
 from dataclasses import dataclass
 
 from pollenroad.guard.admission import AdmissionQueue, WaitingAttempt
 from pollenroad.messages import Attempt
 from pollenroad.models import RequestClass
-from pollenroad.proxy.calls import FINISH_SHARE, FULL, OVERLOADED, SERVER_DOWN, SLOW
+from pollenroad.proxy import refusals
+from pollenroad.proxy.calls import FINISH_SHARE
 from pollenroad.proxy.cold_rate import ColdBound
 from pollenroad.proxy.concurrency import ConcurrencyBound, uncontended_slots
 from pollenroad.proxy.health import SLOW_FACTOR, ServerHealth
-from pollenroad.proxy.overload import cannot_start
+from pollenroad.proxy.overload import cannot_start, return_after_limit_s, return_after_s
+from pollenroad.proxy.request_rate import RequestRate
 from pollenroad.proxy.service_times import ServiceTimes
 
 PUSHBACK_FACTOR = 2.0
@@ -23,6 +26,14 @@
 """Time reserved for an attempt's service before its latency objective, as a multiple of its usual
 service time. Waiting for the rest of the time until the objective costs the caller nothing."""
 
+LIMIT_RESERVE_FACTOR = 1.6
+"""Replaces `SERVICE_RESERVE_FACTOR` for attempts that wait because of a stated limit: they all wait
+about as long as is allowed, and the service times of many are above the usual one."""
+
+TOKEN_WAIT_MARGIN_S = 0.05
+"""Wait for room within the server's stated limit from which an attempt is pushed back, in seconds
+beyond the wait that the entry assumed."""
+
 MIN_WAIT_S = 0.03
 """Time in seconds that an attempt may always wait, unless its deadline leaves less."""
 
@@ -43,13 +54,16 @@
     Args:
         health: Last reported status of the server.
         cold_bound: Limit on the requests that a cold server gets.
+        rng: Random source of the pauses of callers.
     """
 
-    def __init__(self, health: ServerHealth, cold_bound: ColdBound):
+    def __init__(self, health: ServerHealth, cold_bound: ColdBound, rng: random.Random):
+        self._rng = rng
         self._health = health
         self.cold_bound = cold_bound
         self._service_times = ServiceTimes()
         self._concurrency = ConcurrencyBound()
+        self.request_rate = RequestRate()
         self._conditions_by_attempt: dict[str, _StartConditions] = {}
 
     # --- One attempt ---
@@ -88,16 +102,37 @@
         """Return the reason to refuse an attempt on arrival, or an empty string to queue it."""
         attempt = waiting.attempt
         if self._health.is_down and not self._conditions_by_attempt:
-            return SERVER_DOWN
+            return refusals.SERVER_DOWN
         if self._health.is_fresh(now) and self.is_slower_than_assumed(attempt):
-            return SLOW
+            return refusals.SLOW
         bound = self.bound(slots)
         is_full = len(self._conditions_by_attempt) + len(queue) >= bound
         if attempt.assumed_slowdown and is_full and attempt.assumed_load < bound:
-            return FULL
+            return refusals.FULL
+        if attempt.assumed_slowdown and self._is_limit_assumed_wider(waiting, queue, now):
+            return refusals.AT_LIMIT
         longest_wait_s = waiting.start_by - now
         is_late = cannot_start(queue.work_ahead_s(waiting, now), bound, longest_wait_s)
-        return OVERLOADED if is_late else ""
+        return refusals.OVERLOADED if is_late else ""
+
+    def _is_limit_assumed_wider(
+        self, waiting: WaitingAttempt, queue: AdmissionQueue, now: float
+    ) -> bool:
+        """Return whether room within the stated limit comes later than the entry assumed."""
+        if not self.request_rate.is_limited:
+            return False
+        token_wait_s = self.request_rate.wait_s(1 + queue.count_ahead(waiting, now), now)
+        return token_wait_s > waiting.attempt.assumed_wait_ms / 1000 + TOKEN_WAIT_MARGIN_S
+
+    def return_after_s(self, reason: str, queue: AdmissionQueue, slots: int, now: float) -> float:
+        """Return after which pause a refused caller may return, in seconds; 0 to state none."""
+        match reason:
+            case refusals.OVERLOADED:
+                return return_after_s(queue.work_s(), self.bound(slots), self._rng)
+            case refusals.LIMITED:
+                token_wait_s = self.request_rate.wait_s(1 + len(queue), now)
+                return return_after_limit_s(token_wait_s, self._rng)
+        return 0.0
 
     # --- The server ---
 
@@ -120,8 +155,29 @@
         )
         return in_flight < slots and self._concurrency.is_trial_allowed(contended, now)
 
+    def beyond_limit(self, queue: AdmissionQueue, now: float) -> list[WaitingAttempt]:
+        """Return the attempts for which the server's stated limit leaves no room in time.
+
+        Each of them takes room from another one, so that none waits past its objective. Attempts
+        of higher priority may have come after those that were let in.
+        """
+        if not self.request_rate.is_limited:
+            return []
+        late, place = [], 1
+        for waiting in queue.in_order(now):
+            reserve_s = (LIMIT_RESERVE_FACTOR - 1) * waiting.work_s
+            on_time_until = max(waiting.on_time_until - reserve_s, waiting.arrived + MIN_WAIT_S)
+            starts_at = now + self.request_rate.wait_s(place, now)
+            if starts_at > min(waiting.start_by, on_time_until):
+                late.append(waiting)
+            else:
+                place += 1
+        return late
+
     def acquire_or_wait_s(self, declared_per_s: float, now: float) -> float:
-        """Acquire permission to start a request, which takes a token while the server may be cold.
+        """Acquire permission to start a request.
+
+        It takes a token of the server's stated limit, and one more while the server may be cold.
 
         Args:
             declared_per_s: Requests a second that the cold server can handle; 0 for no limit.
@@ -130,9 +186,12 @@
         Returns:
             0 if a request may start now, else the time until the next token, in seconds.
         """
+        if wait_s := self.request_rate.wait_s(1, now):
+            return wait_s
         rate_per_s = self.cold_bound.rate_per_s(declared_per_s)
         cold_limiter = self._health.cold_limiter
         if self._health.is_warm(now) or not rate_per_s or cold_limiter.try_acquire(rate_per_s, now):
+            self.request_rate.take()
             return 0.0
         return cold_limiter.next_token_s(rate_per_s)
 
--- a/src/pollenroad/proxy/advertised.py
+++ b/src/pollenroad/proxy/advertised.py
@@ -50,9 +50,23 @@
         self.unreadable = ""
         """Text of the last limit if it was unreadable."""
         self.is_leaving = False
+        self.is_known = False
+        """Whether the server has answered since its start, and that of this guard."""
+
+    def assume(self, limit_per_s: float) -> None:
+        """Apply a limit that an entry has heard; the lowest of several holds until an answer."""
+        known_per_s = self.limit_per_s
+        self.limit_per_s = limit_per_s if known_per_s is None else min(known_per_s, limit_per_s)
+
+    def answered(self) -> None:
+        """Record an answer whose statements, if any, have been observed."""
+        if not self.is_known:
+            self.reset()
+            self.is_known = True
 
     def observe(self, limit: StatedLimit, is_leaving: bool) -> None:
         """Apply the statements of an answer; an unreadable limit changes nothing."""
+        self.is_known = True
         self.is_leaving = is_leaving
         self.unreadable = ""
         match limit:
@@ -66,3 +80,4 @@
     def reset(self) -> None:
         """Forget everything, as after a restart of the server."""
         self.limit_per_s, self.unreadable, self.is_leaving = None, "", False
+        self.is_known = False
--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from pollenroad.messages import Response
+from pollenroad.messages import AttemptAnswer, Response
 from pollenroad.proxy.boundary import RequestArrived
 from pollenroad.proxy.fleet import EndpointView
+from pollenroad.proxy.refusals import LIMITED, PUSHBACK_REASONS
 from pollenroad.published import Route
 from pollenroad.verdicts import Verdict, is_retry_safe
 
@@ -16,21 +17,6 @@
 and the link broke, in seconds. The guard may finish the request, and sends the answer over a new
 link; nobody else may run it meanwhile."""
 
-SLOW = "slow"
-"""Refusal reason: the server is slower than the entry assumed."""
-
-FULL = "full"
-"""Refusal reason, on arrival: no slot is free, although the entry assumed one."""
-
-OVERLOADED = "overloaded"
-"""Refusal reason: the attempt cannot start in time."""
-
-SERVER_DOWN = "server-down"
-"""Refusal reason: the server has not answered its last health checks."""
-
-PUSHBACK_REASONS = frozenset({SLOW, FULL})
-"""Reasons of pushbacks: refusals because the entry assumed an outdated load."""
-
 FINISH_SHARE = 0.8
 """Time that a request must have left to be started, as a share of its expected service time: one
 that is cut off at its deadline has used a slot for nothing."""
@@ -81,7 +67,29 @@
     open_attempt_ids: set[str] = field(default_factory=set)
     error_response: Response | None = None
     """Error response of a server, kept while another server is tried."""
-    retry_after_s: float = RETRY_AFTER_S
+    stated_retry_s: float | None = None
+    """Shortest pause of the caller that a guard stated, in seconds; None if none did."""
+    refused_wait_s: float = float("inf")
+    """Wait for room within a server's stated limit that was too long for this request, in seconds;
+    infinite if none was."""
+
+    @property
+    def retry_after_s(self) -> float:
+        """Pause that is stated to the caller if the request has not run, in seconds."""
+        return RETRY_AFTER_S if self.stated_retry_s is None else self.stated_retry_s
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether a guard refused this request for the limit that its server states."""
+        return self.refused_wait_s < float("inf")
+
+    def learn_room(self, answer: AttemptAnswer, view: EndpointView, now: float) -> None:
+        """Record when a guard that refused an attempt expects to have room."""
+        if answer.retry_after_ms:
+            pauses_s = (self.stated_retry_s, answer.retry_after_ms / 1000)
+            self.stated_retry_s = min(pause_s for pause_s in pauses_s if pause_s is not None)
+        if answer.reason == LIMITED:
+            self.refused_wait_s = min(self.refused_wait_s, view.limit_wait_s(now))
 
     def refused(self, reason: str, endpoint: str) -> None:
         """Count a refusal by an endpoint; after a pushback the endpoint may be selected again."""
@@ -99,7 +107,7 @@
     def next_selection_at(self, now: float) -> float | None:
         """Return when to select an endpoint again if none is available now, or None to give up."""
         until = self.started + DEFER_SHARE * self.route.objective_s
-        if now >= until or self.refusals >= MAX_REFUSALS:
+        if now >= until or self.refusals >= MAX_REFUSALS or self.is_limited:
             return None
         return min(now + DEFER_STEP_S, until)
 
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -40,6 +40,7 @@
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.fleet import EndpointView
 from pollenroad.proxy.records import attempt_ended, attempt_sent, call_answered, server_slow
+from pollenroad.proxy.refusals import LIMITED
 from pollenroad.proxy.routes import Splitter
 from pollenroad.proxy.selection import EndpointSelector
 from pollenroad.timers import Timers
@@ -132,8 +133,7 @@
         if chosen is None:
             yield from self._defer(call, now)
             return
-        view, cost_s = chosen
-        yield from self._send_to(call, view, cost_s, role, now)
+        yield from self._send_to(call, *chosen, role, now)
 
     def _send_to(
         self, call: OpenCall, view: EndpointView, cost_s: float, role: str, now: float
@@ -159,7 +159,8 @@
             call.tried.clear()
             self._timers.set(("hold", call.arrived.call_id), next_selection_at)
             return
-        yield from self._finish(call, Verdict.NOT_RUN, "no-endpoint", now)
+        reason = LIMITED if call.is_limited else "no-endpoint"
+        yield from self._finish(call, Verdict.NOT_RUN, reason, now)
 
     # --- Ends of attempts ---
 
@@ -190,8 +191,7 @@
                 call.may_have_run = True
                 yield from self._retry_or_finish(call, verdict, answer.reason, now)
             case Verdict.NOT_RUN:
-                if answer.retry_after_ms:
-                    call.retry_after_s = answer.retry_after_ms / 1000
+                call.learn_room(answer, attempt.view, now)
                 endpoint = attempt.view.endpoint.incarnation
                 reached = answer.reached_server
                 yield from self._on_not_run(call, endpoint, answer.reason, reached, now)
@@ -343,7 +343,7 @@
             return
         chosen = self._selector.select(call, now)
         attempt = self._attempt_by_id[next(iter(call.open_attempt_ids))]
-        is_better = chosen is not None and self._selector.is_faster(call, attempt, chosen[1], now)
+        is_better = chosen and self._selector.is_hedge_better(call, attempt, *chosen, now)
         if is_better and self.budgets.of(call.service, now).try_spend(now):
             yield from self._send_to(call, *chosen, "hedge", now)
             return
--- a/src/pollenroad/proxy/fleet.py
+++ b/src/pollenroad/proxy/fleet.py
@@ -12,6 +12,7 @@
 
 from pollenroad.messages import LoadReport
 from pollenroad.proxy.health import COLD_FACTOR, SLOW_FACTOR
+from pollenroad.proxy.request_rate import MIN_PER_S
 from pollenroad.published import RegisteredEndpoint
 
 REMOTE_COST_SHARE = 0.2
@@ -69,6 +70,10 @@
     bound: int = 0
     """Concurrency limit of its guard; 0 if not reported."""
     slowdown: float = 1.0
+    limit_per_s: float | None = None
+    """Requests a second that the server takes, as last reported; None if it states no limit."""
+    reported_limit_wait_s: float = 0.0
+    """Wait for room within that limit, as last reported, in seconds; may be negative."""
     state: str = "serving"
     sequence: int = -1
     """Sequence number of the last report."""
@@ -89,6 +94,8 @@
         self.reported = report.in_flight + report.queued
         self.bound = report.bound
         self.slowdown = max(1.0, report.slowdown)
+        self.limit_per_s = report.limit_per_s
+        self.reported_limit_wait_s = report.limit_wait_ms / 1000
         self.state = report.state
         self.reported_at = now
         self.sent_since_report = 0
@@ -106,13 +113,25 @@
             return 1.0
         return max(self.slowdown, COLD_FACTOR if self.state == "cold" else 1.0)
 
+    def limit_wait_s(self, now: float) -> float:
+        """Return the expected wait for room within the stated limit, in seconds.
+
+        It is as long as reported until the report is too old, and 0 then: other entries take the
+        room that comes meanwhile.
+        """
+        if self.limit_per_s is None or now - self.reported_at >= REPORT_TTL_S:
+            return 0.0
+        own_s = self.sent_since_report / max(self.limit_per_s, MIN_PER_S)
+        return max(0.0, self.reported_limit_wait_s + own_s)
+
     def expected_s(self, work_s: float, now: float) -> float:
         """Return the expected time there, in seconds, of a request that usually takes `work_s`."""
         slots = max(1, self.bound or self.endpoint.slots)
         in_flight = self.in_flight()
         waiting = max(0, in_flight + 1 - slots)
         service_s = work_s * (1 + UTILIZATION_COST * min(1.0, in_flight / slots) ** 2)
-        return self.current_slowdown(now) * (service_s + work_s * waiting / slots)
+        busy_s = self.current_slowdown(now) * (service_s + work_s * waiting / slots)
+        return busy_s + self.limit_wait_s(now)
 
     def failure_share(self, now: float) -> float:
         """Return the moving average of failures, which decays while no attempt ends there."""
@@ -207,6 +226,7 @@
         tried: frozenset[str] | set[str],
         work: Work,
         now: float,
+        limit_wait_bound_s: float = float("inf"),
     ) -> tuple[EndpointView, float] | None:
         """Select an endpoint for the next attempt.
 
@@ -215,6 +235,8 @@
             tried: Incarnations that are not selected again.
             work: Expected work of the request.
             now: Monotonic time in seconds.
+            limit_wait_bound_s: Wait for room within a stated limit from which endpoints are not
+                selected, in seconds.
 
         Returns:
             The view of the selected endpoint and its cost in seconds, or None.
@@ -222,7 +244,9 @@
         costs = []
         for endpoint, is_lapsed in candidates:
             view = self.view(endpoint)
-            if endpoint.incarnation not in tried and not view.is_unavailable(now):
+            if endpoint.incarnation in tried or view.is_unavailable(now):
+                continue
+            if view.limit_wait_s(now) < limit_wait_bound_s:
                 costs.append((self.cost_s(view, work, is_lapsed, now), view))
         if not costs:
             return None
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -39,19 +39,18 @@
     ServerSilent,
     TellLoad,
 )
-from pollenroad.proxy.calls import OVERLOADED, SLOW
 from pollenroad.proxy.cold_rate import NO_COLD_BOUND, ColdBound
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.health import CHECK_GAP_S
 from pollenroad.proxy.load_reporting import STATE_BY_CLOSED_REASON, LoadReporter
 from pollenroad.proxy.local_server import LocalServer
-from pollenroad.proxy.overload import return_after_s
 from pollenroad.proxy.records import (
     attempt_done,
     attempt_refused,
     attempt_started,
     guard_state,
 )
+from pollenroad.proxy.refusals import LIMITED, OVERLOADED, SLOW
 from pollenroad.proxy.server_status import ServerStatus
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
@@ -78,10 +77,9 @@
         self._transit_times = TransitTimes()
         self._status = ServerStatus(self.local, now)
         self._health = self._status.health
-        self.policy = AdmissionPolicy(self._health, cold_bound)
+        self.policy = AdmissionPolicy(self._health, cold_bound, random.Random(server))
         self._load_reporter = LoadReporter()
         self._timers = Timers()
-        self._rng = random.Random(server)
         self._is_stopping = False
         self._last_attempt_at = now
         self._last_state = ""
@@ -119,7 +117,10 @@
         """Process one event and return the actions to perform."""
         self._transit_times.observe_pause(now)
         restarts = self._status.detect_restart(now)
-        return [*restarts, *self._actions(event, now), *self._fill(now), *self._report_load(now)]
+        actions = [*restarts, *self._actions(event, now)]
+        self.policy.request_rate.set_limit(self._status.advertised.limit_per_s, now)
+        actions += self._shed_beyond_limit(now)
+        return [*actions, *self._fill(now), *self._report_load(now)]
 
     def _actions(self, event: Event, now: float) -> Iterator[Action]:
         match event:
@@ -129,7 +130,10 @@
                 yield from self._on_cancel(attempt_id, now)
             case EntryLost(peer):
                 yield from self._on_entry_lost(peer)
-            case ServerAnswered() | ServerFailed() | ServerShed():
+            case ServerAnswered() | ServerShed():
+                self._status.advertised.answered()
+                yield from self._end(answer_of(event), now)
+            case ServerFailed():
                 yield from self._end(answer_of(event), now)
             case ServerSeen():
                 yield from self._status.on_seen(event, now)
@@ -156,6 +160,7 @@
         self._seen.add(attempt.attempt_id, LONGEST_DEADLINE_S, now)
         self._load_reporter.attempted(host_of(peer), now)
         self._last_attempt_at = now
+        yield from self._status.on_hint(attempt)
         remaining_s = attempt.remaining_ms / 1000 - self._transit_times.transit_s(attempt, now)
         waiting = self.policy.make_waiting(peer, attempt, remaining_s, now)
         if reason := self._refusal(waiting, remaining_s, now):
@@ -180,15 +185,20 @@
         revision = self._directory.revision
         yield attempt_refused(waiting, reason, self._make_report(now), self._health, revision, now)
         answer = AttemptAnswer(attempt.attempt_id, Verdict.NOT_RUN.value, reason)
-        if reason == OVERLOADED:
-            slots = self.policy.bound(self.local.slots)
-            pause_s = return_after_s(self._queue.work_s(), slots, self._rng)
-            answer = replace(answer, retry_after_ms=pause_s * 1000)
-        yield self._send(waiting.peer, answer, now)
+        pause_s = self.policy.return_after_s(reason, self._queue, self.local.slots, now)
+        yield self._send(waiting.peer, replace(answer, retry_after_ms=pause_s * 1000), now)
+
+    def _shed_beyond_limit(self, now: float) -> Iterator[Action]:
+        for waiting in self.policy.beyond_limit(self._queue, now):
+            self._queue.remove(waiting.attempt.attempt_id)
+            yield from self._refuse(waiting, LIMITED, now)
 
     def _fill(self, now: float) -> Iterator[Action]:
         """Start waiting attempts while the server has a slot, is fast and within its cold rate."""
-        while self._queue and self.local.is_loaded and self.policy.has_slot(self.local.slots, now):
+        while self._queue and self.local.is_loaded and self._has_slot(now):
+            if token_wait_s := self.policy.request_rate.wait_s(1, now):
+                self._timers.set(("fill", ""), now + token_wait_s)
+                return
             if self._health.should_await_check(now):
                 yield from self._check(now)
                 self._timers.set(("fill", ""), self._health.check_wait_until())
@@ -204,6 +214,12 @@
             yield from self._start(waiting, now)
             yield from self._check(now)
 
+    def _has_slot(self, now: float) -> bool:
+        """Return whether one more attempt may start; until the server has answered, one at most."""
+        if self.in_flight and not self._status.advertised.is_known:
+            return False
+        return self.policy.has_slot(self.local.slots, now)
+
     def _try_acquire(self, now: float) -> bool:
         """Return whether a request may start, taking a token if needed; if not, set a timer."""
         rules = self.local.rules
@@ -285,8 +301,7 @@
 
     def _on_start_due(self, waiting: WaitingAttempt, now: float) -> Iterator[Action]:
         """Start or refuse an attempt whose latest start time has come."""
-        has_slot = self.policy.has_slot(self.local.slots, now)
-        if self.policy.is_slow and has_slot and self._try_acquire(now):
+        if self.policy.is_slow and self._has_slot(now) and self._try_acquire(now):
             yield from self._start(waiting, now)
             return
         yield from self._refuse(waiting, OVERLOADED, now)
@@ -308,7 +323,7 @@
         reason = self.closed_reason()
         state = STATE_BY_CLOSED_REASON.get(reason, "out") if reason else self._health.state(now)
         return self._load_reporter.report(
-            self.local, self.policy, self.in_flight, self.queued, state, self._health.slowdown
+            self.local, self.policy, self.in_flight, self.queued, state, self._health.slowdown, now
         )
 
     def _report_load(self, now: float) -> Iterator[Action]:
--- a/src/pollenroad/proxy/load_datagrams.py
+++ b/src/pollenroad/proxy/load_datagrams.py
@@ -26,6 +26,8 @@
     state: str
     sequence: int
     slowdown: float
+    limit_per_s: float | None = None
+    limit_wait_ms: float = 0.0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -44,6 +46,8 @@
             report.state,
             report.sequence,
             round(report.slowdown, 2),
+            report.limit_per_s,
+            round(report.limit_wait_ms),
         )
     )
 
@@ -64,6 +68,8 @@
         state=notice.state,
         sequence=notice.sequence,
         slowdown=notice.slowdown,
+        limit_per_s=notice.limit_per_s,
+        limit_wait_ms=notice.limit_wait_ms,
     )
 
 
--- a/src/pollenroad/proxy/load_reporting.py
+++ b/src/pollenroad/proxy/load_reporting.py
@@ -27,8 +27,8 @@
 """Shortest time between two reports, in seconds."""
 
 REPEAT_S = 0.5
-"""Time after which the report of a server that is slow, cold or not available is repeated, in
-seconds: datagrams may be lost."""
+"""Time after which the report of a server that is slow, cold, limited or not available is repeated,
+in seconds: datagrams may be lost."""
 
 SLOWDOWN_STEP = 1.6
 """Factor by which the slowdown must change for a new report."""
@@ -54,10 +54,14 @@
         queued: int,
         state: str,
         slowdown: float,
+        now: float,
     ) -> LoadReport:
         """Return a load report with the next sequence number."""
         self._sequence += 1
+        rate = policy.request_rate
         return LoadReport(
+            limit_per_s=rate.per_s,
+            limit_wait_ms=rate.ahead_s(queued + 1, now) * 1000,
             service=local.service,
             endpoint=local.incarnation,
             in_flight=in_flight,
@@ -96,7 +100,7 @@
             return True
         if now - self._last_sent_at < MIN_GAP_S:
             return False
-        if report.state != last_sent.state:
+        if report.state != last_sent.state or report.limit_per_s != last_sent.limit_per_s:
             return True
         ratio = report.slowdown / last_sent.slowdown
         if ratio >= SLOWDOWN_STEP or ratio <= 1 / SLOWDOWN_STEP:
@@ -105,4 +109,5 @@
         if change >= LOAD_STEP * max(1, report.bound):
             return True
         is_normal = report.state == "serving" and report.slowdown < SLOWDOWN_STEP
+        is_normal = is_normal and report.limit_per_s is None
         return not is_normal and now - self._last_sent_at >= REPEAT_S
--- a/src/pollenroad/proxy/overload.py
+++ b/src/pollenroad/proxy/overload.py
@@ -12,6 +12,9 @@
 MIN_RETURN_S = 0.3
 """Shortest pause of a caller, in seconds."""
 
+MAX_RETURN_S = 3.0
+"""Longest pause of a caller because of a server's stated limit, in seconds: it may end any time."""
+
 RETURN_SPREAD = 0.25
 """Random deviation of the pause, as a share of it: callers that were refused together would
 otherwise return together."""
@@ -32,6 +35,18 @@
     return shortest_wait_s(work_ahead_s, slots) > max(0.0, longest_wait_s)
 
 
+def return_after_limit_s(token_wait_s: float, rng: random.Random) -> float:
+    """Return after which pause a caller finds room within a server's stated limit, in seconds.
+
+    Args:
+        token_wait_s: Time until the attempts that are queued have started and there is room for
+            one more, in seconds.
+        rng: Random source of the deviation.
+    """
+    pause_s = min(MAX_RETURN_S, max(MIN_RETURN_S, token_wait_s))
+    return pause_s * rng.uniform(1 - RETURN_SPREAD, 1 + RETURN_SPREAD)
+
+
 def return_after_s(queued_work_s: float, slots: int, rng: random.Random) -> float:
     """Return after which pause a caller finds the work that is queued now started, in seconds."""
     pause_s = max(MIN_RETURN_S, shortest_wait_s(queued_work_s, slots))
--- a/src/pollenroad/proxy/records.py
+++ b/src/pollenroad/proxy/records.py
@@ -5,7 +5,7 @@
 from pollenroad.guard.running_attempts import RunningAttempt
 from pollenroad.messages import Attempt, AttemptAnswer, LoadReport
 from pollenroad.proxy.advertised import Advertised
-from pollenroad.proxy.boundary import RequestArrived, ServerAdvertised
+from pollenroad.proxy.boundary import RequestArrived
 from pollenroad.proxy.calls import OpenAttempt, OpenCall
 from pollenroad.proxy.fleet import EndpointView
 from pollenroad.proxy.health import ServerHealth
@@ -149,39 +149,35 @@
     return Record("attempt_done", fields)
 
 
-def server_limit(
-    event: ServerAdvertised, advertised: Advertised, before_per_s: float | None
-) -> Record:
-    """Return the record of a limit that the server states, ends, or states unreadably."""
+def server_limit(advertised: Advertised, before_per_s: float | None, source: str) -> Record:
+    """Return the record of a limit that the server states, ends, or states unreadably.
+
+    Args:
+        advertised: What the server states now.
+        before_per_s: The limit before, in requests a second.
+        source: `health` or `answer` of the server, or `entry` for what an entry has heard.
+    """
     fields = (
         ("limit_per_s", advertised.limit_per_s),
         ("before_per_s", before_per_s),
         ("unreadable", advertised.unreadable),
-        ("source", source_of(event)),
+        ("source", source),
     )
     return Record("server_limit", fields)
 
 
-def server_leaving(event: ServerAdvertised, closed_reason: str) -> Record:
+def server_leaving(is_leaving: bool, closed_reason: str, source: str) -> Record:
     """Return the record that the server states that it leaves, or no longer does.
 
     Args:
-        event: The statement.
+        is_leaving: What it states.
         closed_reason: Why its guard takes no new work; empty if the guard does.
+        source: `health` or `answer` of the server.
     """
-    fields = (
-        ("leaving", event.is_leaving),
-        ("closed", closed_reason),
-        ("source", source_of(event)),
-    )
+    fields = (("leaving", is_leaving), ("closed", closed_reason), ("source", source))
     return Record("server_leaving", fields)
 
 
-def source_of(event: ServerAdvertised) -> str:
-    """Return the kind of answer that carried a statement of the server."""
-    return "health" if event.is_health else "answer"
-
-
 def server_slow(report: LoadReport) -> Record:
     """Return the record of a report that an endpoint has become slow."""
     fields = (("endpoint", report.endpoint), ("slowdown", round(report.slowdown, 2)))
--- a/src/pollenroad/proxy/selection.py
+++ b/src/pollenroad/proxy/selection.py
@@ -7,6 +7,7 @@
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.fleet import EndpointView, Work, make_fleet
 from pollenroad.proxy.health import SLOW_FACTOR
+from pollenroad.proxy.request_rate import MAX_WAIT_S
 from pollenroad.proxy.route_latencies import RouteLatencies
 
 MAX_PUSHBACKS = 2
@@ -50,11 +51,16 @@
             for endpoint in directory.endpoints(call.service)
         )
         work = Work(self.latencies.usual_s(call.route), call.route.objective_s)
-        return self.fleet.select(candidates, call.tried, work, now)
+        return self.fleet.select(candidates, call.tried, work, now, call.refused_wait_s)
 
-    def is_faster(self, call: OpenCall, attempt: OpenAttempt, cost_s: float, now: float) -> bool:
-        """Return whether an endpoint of this cost is likely to answer before the open attempt."""
-        if now + cost_s > call.deadline:
+    def is_hedge_better(
+        self, call: OpenCall, attempt: OpenAttempt, view: EndpointView, cost_s: float, now: float
+    ) -> bool:
+        """Return whether an endpoint of this cost is likely to answer before the open attempt.
+
+        One that states a limit has room for first attempts only.
+        """
+        if now + cost_s > call.deadline or view.limit_per_s is not None:
             return False
         work_s = self.latencies.usual_s(call.route)
         left_s = max(work_s / 2, work_s - (now - attempt.sent_at))
@@ -85,4 +91,6 @@
             assumed_load=view.in_flight(),
             usual_ms=self.latencies.usual_s(route) * 1000,
             assumed_slowdown=max(1.0, view.current_slowdown(now)) if accepts_pushback else 0.0,
+            assumed_wait_ms=min(MAX_WAIT_S, view.limit_wait_s(now)) * 1000,
+            known_limit_per_s=view.limit_per_s,
         )
--- a/src/pollenroad/proxy/server_status.py
+++ b/src/pollenroad/proxy/server_status.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from pollenroad.boundary import Action, Record
+from pollenroad.messages import Attempt
 from pollenroad.proxy.advertised import Advertised
 from pollenroad.proxy.boundary import CheckServer, ServerAdvertised, ServerSeen
 from pollenroad.proxy.health import CHECK_TIMEOUT_S, MAX_FAILED_CHECKS, ServerHealth
@@ -20,6 +21,7 @@
 
     def on_seen(self, seen: ServerSeen, now: float) -> Iterator[Action]:
         """Record the status that the server reported."""
+        self.advertised.answered()
         if self.health.observe(seen, now):
             yield Record("server_cold", (("cold_s", seen.cold_s), ("source", "server")))
 
@@ -37,13 +39,22 @@
         """
         if event.incarnation not in ("", self._local.incarnation):
             return
-        advertised = self.advertised
+        advertised, source = self.advertised, "health" if event.is_health else "answer"
         before, was_leaving = (advertised.limit_per_s, advertised.unreadable), advertised.is_leaving
         advertised.observe(event.limit, event.is_leaving)
         if (advertised.limit_per_s, advertised.unreadable) != before:
-            yield server_limit(event, advertised, before[0])
+            yield server_limit(advertised, before[0], source)
         if event.is_leaving != was_leaving:
-            yield server_leaving(event, closed_reason)
+            yield server_leaving(event.is_leaving, closed_reason, source)
+
+    def on_hint(self, attempt: Attempt) -> Iterator[Action]:
+        """Apply the limit that an entry knows, until the server itself has answered this guard."""
+        limit_per_s, before_per_s = attempt.known_limit_per_s, self.advertised.limit_per_s
+        if limit_per_s is None or self.advertised.is_known or self._local.is_other(attempt):
+            return
+        self.advertised.assume(limit_per_s)
+        if self.advertised.limit_per_s != before_per_s:
+            yield server_limit(self.advertised, before_per_s, "entry")
 
     def detect_restart(self, now: float) -> Iterator[Action]:
         """Forget the status of an earlier start of the server."""
--- a/src/pollenroad/proxy/upstream.py
+++ b/src/pollenroad/proxy/upstream.py
@@ -124,8 +124,8 @@
             request.body,
             lambda reply: self._is_stale(reply, attempt),
         )
-        self._post_load(reply)
         self._post_advertised(reply, attempt.incarnation, is_health=False)
+        self._post_load(reply)
         return self._classify(attempt, reply)
 
     def _exchange(self, connection: ClientConnection, *request) -> Reply:
--- a/tests/proxy/test_overload.py
+++ b/tests/proxy/test_overload.py
@@ -6,8 +6,8 @@
 from pollenroad.boundary import RunAtServer, ServerAnswered, Tick
 from pollenroad.messages import AttemptAnswer, Response
 from pollenroad.proxy.boundary import CheckServer, ServerSeen
-from pollenroad.proxy.calls import OVERLOADED
 from pollenroad.proxy.overload import MIN_RETURN_S, RETURN_SPREAD, cannot_start, return_after_s
+from pollenroad.proxy.refusals import OVERLOADED
 from tests.proxy.samples import attempt_answers, endpoint, guard_with, of_kind, send_attempt
 
 WORK_S = 0.1
--- a/tests/proxy/test_proxy_entry.py
+++ b/tests/proxy/test_proxy_entry.py
@@ -12,9 +12,10 @@
     RequestArrived,
 )
 from pollenroad.proxy.budgets import BudgetRules
-from pollenroad.proxy.calls import DEFER_SHARE, LOST_ANSWER_WAIT_S, PEER_LOST, SLOW
+from pollenroad.proxy.calls import DEFER_SHARE, LOST_ANSWER_WAIT_S, PEER_LOST
 from pollenroad.proxy.directory import make_directory
 from pollenroad.proxy.entry import Entry
+from pollenroad.proxy.refusals import SLOW
 from pollenroad.proxy.selection import MAX_PUSHBACK_BODY_BYTES, MAX_PUSHBACKS
 from pollenroad.verdicts import Verdict
 from tests.proxy.samples import (
--- a/tests/proxy/test_proxy_guard.py
+++ b/tests/proxy/test_proxy_guard.py
@@ -20,11 +20,11 @@
     ServerSilent,
     TellLoad,
 )
-from pollenroad.proxy.calls import FULL, SLOW
 from pollenroad.proxy.directory import make_directory
 from pollenroad.proxy.guard import make_guard
 from pollenroad.proxy.health import CHECK_WAIT_S, MAX_FAILED_CHECKS
 from pollenroad.proxy.load_reporting import MAX_SUBSCRIBERS, SUBSCRIBED_S
+from pollenroad.proxy.refusals import FULL, SLOW
 from pollenroad.published import DomainOut
 from tests.proxy.samples import (
     PEER,
--- a/tests/proxy/test_server_limit.py
+++ b/tests/proxy/test_server_limit.py
@@ -1,13 +1,19 @@
 """Servers that state a limit on their requests, or that they leave, on simulated time."""
 
 import unittest
+from unittest import mock
 
+from pollenroad.bench import server_limit
 from pollenroad.boundary import RunAtServer, ServerAnswered, Tick
 from pollenroad.messages import Response
 from pollenroad.proxy.advertised import RateLimit
 from pollenroad.proxy.boundary import CheckServer, ServerAdvertised, ServerSeen
+from pollenroad.proxy.guard import make_guard
+from pollenroad.proxy.refusals import AT_LIMIT, LIMITED
 from tests.proxy.samples import (
+    SERVICE,
     attempt_answers,
+    directory_with,
     endpoint,
     events_of,
     guard_with,
@@ -50,12 +56,47 @@
 
 
 class GuardTest(unittest.TestCase):
-    @unittest.expectedFailure  # KNOWN-RED.txt 15
+    # EF15
     def test_a_server_gets_no_more_requests_than_the_limit_that_it_states(self):
         started = starts_at_limited_server()
         most = max(sum(at <= t < at + WINDOW_S for t in started) for at in started)
         self.assertLessEqual(most, ALLOWED)
 
+    def test_an_attempt_without_room_in_time_is_refused_at_once_as_not_run(self):
+        guard = guard_with(endpoint(1))
+        guard.handle(ServerAdvertised("i-1", RateLimit(1.0)), 0.0)
+        send_attempt(guard, number=1)
+        (refusal,) = attempt_answers(send_attempt(guard, number=2))
+        self.assertEqual((refusal.verdict, refusal.reason), ("not-run", LIMITED))
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_an_attempt_that_assumed_room_is_pushed_back(self):
+        guard = guard_with(endpoint(1))
+        guard.handle(ServerAdvertised("i-1", RateLimit(4.0)), 0.0)
+        send_attempt(guard, number=1)
+        (refusal,) = attempt_answers(send_attempt(guard, number=2, assumed_slowdown=1.0))
+        self.assertEqual((refusal.verdict, refusal.reason), ("not-run", AT_LIMIT))
+
+    def test_a_limit_that_has_ended_holds_nothing_back(self):
+        guard = guard_with(endpoint(1))
+        guard.handle(ServerAdvertised("i-1", RateLimit(0.0)), 0.0)
+        guard.handle(ServerAdvertised("i-1"), 0.01)
+        started = [of_kind(send_attempt(guard, 0.01, number=n), RunAtServer) for n in range(1, 4)]
+        self.assertTrue(all(started))
+
+    def test_a_guard_that_has_just_started_keeps_the_limit_that_an_entry_knows(self):
+        guard = make_guard("127.0.0.1:8000", SERVICE, directory_with(endpoint(1)), 0.0)
+        send_attempt(guard, 1.0, known_limit_per_s=2.5)
+        self.assertEqual(guard.limit_per_s, 2.5)
+        guard.handle(ServerSeen(is_health=True), 1.01)
+        self.assertEqual(guard.limit_per_s, float("inf"))
+
+    def test_a_guard_starts_one_request_until_its_server_has_answered(self):
+        guard = make_guard("127.0.0.1:8000", SERVICE, directory_with(endpoint(1)), 0.0)
+        for number in range(1, 4):
+            send_attempt(guard, 1.0, number=number)
+        self.assertEqual(len(of_kind(guard.handle(Tick(), 1.2), RunAtServer)), 1)
+
     @unittest.expectedFailure  # KNOWN-RED.txt 16
     def test_a_server_that_states_that_it_leaves_gets_no_new_requests(self):
         guard = guard_with(endpoint(1))
@@ -65,5 +106,30 @@
         self.assertEqual((refusal.verdict, refusal.reason), ("not-run", "leaving"))
 
 
+@mock.patch.multiple(server_limit, SECONDS=12.0, END_S=10.0)
+class FleetTest(unittest.TestCase):
+    def _play(self, scenario: str) -> server_limit.Play:
+        return server_limit.play_scenario(scenario, seed=1)
+
+    def test_no_server_gets_more_than_its_limit_beside_restarts_and_freezes(self):
+        for scenario, per_s in (("restarts", 6.0), ("freezes", 6.0), ("all-zero", 0.0)):
+            with self.subTest(scenario=scenario):
+                figures = server_limit.figures(self._play(scenario))
+                self.assertLessEqual(max(figures["most_in_window"]), 1.5 * WINDOW_S * per_s + 5)
+                self.assertEqual(figures["false_refusals"], 0)
+
+    def test_room_elsewhere_is_used_before_requests_are_refused(self):
+        figures = server_limit.figures(self._play("room-elsewhere"))
+        self.assertGreaterEqual(figures["in_time"], 0.98)
+        self.assertGreaterEqual(figures["served"], 0.998)
+
+    def test_refusals_for_a_limit_are_sent_at_once_and_the_limit_is_used(self):
+        play = self._play("all-limited")
+        self.assertGreaterEqual(server_limit.figures(play)["refused_at_once"], 0.9)
+        for server in play.fleet.servers:
+            starts = [at for at, _ in server.starts if 4.0 <= at < 10.0]
+            self.assertGreaterEqual(len(starts), 0.9 * 8.0 * 6.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/users/server.py
+++ b/tests/users/server.py
@@ -27,6 +27,7 @@
             next request has arrived).
         service_s: Service time in seconds, at a slowness of 100.
         slowness: Factor on the service time, in percent.
+        statements: Fields that every answer states about the server, such as `Server-Limit`.
         shed_ids: Ids of requests that are answered with the fault `shed`.
         runs: Number of runs of each request, by id.
         misdeliveries: Ids of requests that arrived without a deadline or a caller.
@@ -44,6 +45,7 @@
         self.fault = ""
         self.service_s = 0.005
         self.slowness = 100
+        self.statements: dict[str, str] = {}
         self.cold_until = 0.0
         self.shed_ids: set[str] = set()
         self.runs: Counter[str] = Counter()
@@ -119,7 +121,7 @@
         return answer_bytes(503 if self.is_draining else 200, fields, b"")
 
     def _load(self) -> dict[str, str]:
-        return {"X-Server-Load": f"{self._running},0,8,{self.slowness}"}
+        return {"X-Server-Load": f"{self._running},0,8,{self.slowness}"} | self.statements
 
     def _run(self, handler, method: str, path: str, headers: dict, body: bytes) -> bytes | None:
         attempt = headers.get("x-attempt-id", "")
--- a/tests/users/test_users_path.py
+++ b/tests/users/test_users_path.py
@@ -20,7 +20,7 @@
 
     def setUp(self):
         for server in self.fleet.server_by_host.values():
-            server.fault, server.service_s = "", 0.005
+            server.fault, server.service_s, server.statements = "", 0.005, {}
 
     def _id(self) -> str:
         type(self).count += 1
@@ -94,6 +94,19 @@
         self.assertEqual((status, self._runs(attempt)), (503, 0))
         self.assertGreater(float(headers["retry-after"]), 0)
 
+    def test_servers_that_take_no_requests_get_none_until_their_limit_ends(self):
+        for server in self.fleet.server_by_host.values():
+            server.statements = {"Server-Limit": "0"}
+        host = self.fleet.hosts[0]
+        await_condition(lambda: self.fleet.request(host, READ, self._id())[0] == 503)
+        attempt = self._id()
+        status, headers, body = self.fleet.request(host, WRITE, attempt, "POST")
+        self.assertEqual((status, body, self._runs(attempt)), (503, b"limited\n", 0))
+        self.assertGreater(float(headers["retry-after"]), 0)
+        for server in self.fleet.server_by_host.values():
+            server.statements = {}
+        await_condition(lambda: self.fleet.request(host, READ, self._id())[0] == 200)
+
     def test_pipelined_requests_run_concurrently_and_are_answered_in_order(self):
         for server in self.fleet.server_by_host.values():
             server.service_s = 0.3
