A server that states in its answers that it leaves gets no new work

By the test, a server that states it while its registration does not (the store away, the VM cut off) got the next request.

Cause: as for LIMIT, a statement of the server about itself was passed on and not read. Why this works: the guard closes at the first such answer; entries that have heard of it remember it, so that an entry that passed the answer on sends nothing more even if the guard has restarted and knows nothing. Reports tell a leaving server from a daemon that stops, after which the server stays.

--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -61,8 +61,8 @@
     bound: int
     """Requests in flight that the guard currently admits."""
     state: str = "serving"
-    """`serving` or `cold`. In any other state the endpoint takes no new work: `draining`,
-    `drained`, `out` (out of service), or `down` (the server refuses all requests)."""
+    """`serving`, `cold` or `starting`. In any other state the endpoint takes no new work:
+    `leaving`, `draining`, `drained`, `out` (out of service), or `down` (the server refuses all)."""
     service_ms: float = 0.0
     """Recent median time of a request at the server, in milliseconds."""
     sequence: int = 0
--- a/src/pollenroad/proxy/fleet.py
+++ b/src/pollenroad/proxy/fleet.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from pollenroad.messages import LoadReport
+from pollenroad.proxy.endpoint_states import COLD, LEAVING, OUT_STATES, SERVING
 from pollenroad.proxy.health import COLD_FACTOR, SLOW_FACTOR
 from pollenroad.proxy.request_rate import MIN_PER_S
 from pollenroad.published import RegisteredEndpoint
@@ -49,11 +50,9 @@
 LAPSED_COST_S = 0.5
 """Added cost of an endpoint whose lease has lapsed, in seconds."""
 
-OUT_STATES = frozenset({"draining", "out", "down"})
-"""Reported states in which an endpoint accepts no new work."""
-
 OUT_REPORT_TTL_S = 1.0
-"""Age from which a report of such a state is ignored, in seconds."""
+"""Age from which a report that an endpoint accepts no new work is ignored, in seconds. That its
+server leaves is remembered for longer."""
 
 
 @dataclass(slots=True)
@@ -74,7 +73,9 @@
     """Requests a second that the server takes, as last reported; None if it states no limit."""
     reported_limit_wait_s: float = 0.0
     """Wait for room within that limit, as last reported, in seconds; may be negative."""
-    state: str = "serving"
+    state: str = SERVING
+    is_leaving: bool = False
+    """Whether the server leaves, until a guard that it has answered reports otherwise."""
     sequence: int = -1
     """Sequence number of the last report."""
     reported_at: float = float("-inf")
@@ -97,6 +98,9 @@
         self.limit_per_s = report.limit_per_s
         self.reported_limit_wait_s = report.limit_wait_ms / 1000
         self.state = report.state
+        self.is_leaving = report.state == LEAVING or (
+            self.is_leaving and report.state not in (SERVING, COLD)
+        )
         self.reported_at = now
         self.sent_since_report = 0
         if report.state not in OUT_STATES:
@@ -111,7 +115,7 @@
         """Return the last reported slowdown, or more if cold; 1 if the report is too old."""
         if now - self.reported_at >= REPORT_TTL_S:
             return 1.0
-        return max(self.slowdown, COLD_FACTOR if self.state == "cold" else 1.0)
+        return max(self.slowdown, COLD_FACTOR if self.state == COLD else 1.0)
 
     def limit_wait_s(self, now: float) -> float:
         """Return the expected wait for room within the stated limit, in seconds.
@@ -138,9 +142,9 @@
         return self.last_failure_share * 0.5 ** ((now - self.last_outcome_at) / FAILURE_HALF_LIFE_S)
 
     def is_unavailable(self, now: float) -> bool:
-        """Return whether the endpoint is ejected or reported as accepting no new work."""
+        """Return whether the endpoint leaves, is ejected or reported as accepting no new work."""
         is_out = self.state in OUT_STATES and now - self.reported_at < OUT_REPORT_TTL_S
-        return is_out or now < self.ejected_until
+        return self.is_leaving or is_out or now < self.ejected_until
 
     def succeeded(self, now: float) -> None:
         """Count a successful attempt, and end an ejection."""
@@ -185,6 +189,8 @@
         view = self._view_by_incarnation.get(endpoint.incarnation)
         if view is None:
             view = self._view_by_incarnation[endpoint.incarnation] = EndpointView(endpoint)
+        if endpoint.born_ms != view.endpoint.born_ms:
+            view.is_leaving = False
         view.endpoint = endpoint
         return view
 
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -42,7 +42,7 @@
 from pollenroad.proxy.cold_rate import NO_COLD_BOUND, ColdBound
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.health import CHECK_GAP_S
-from pollenroad.proxy.load_reporting import STATE_BY_CLOSED_REASON, LoadReporter
+from pollenroad.proxy.load_reporting import LoadReporter
 from pollenroad.proxy.local_server import LocalServer
 from pollenroad.proxy.records import (
     attempt_done,
@@ -109,7 +109,9 @@
 
     def closed_reason(self) -> str:
         """Return the reason for which no new work is accepted, or an empty string."""
-        return LEAVING if self._is_stopping else self.local.closed_reason()
+        if self._is_stopping or self._status.advertised.is_leaving:
+            return LEAVING
+        return self.local.closed_reason()
 
     # --- Events ---
 
@@ -320,8 +322,7 @@
     # --- Load ---
 
     def _make_report(self, now: float) -> LoadReport:
-        reason = self.closed_reason()
-        state = STATE_BY_CLOSED_REASON.get(reason, "out") if reason else self._health.state(now)
+        state = self._status.state(self.closed_reason(), now)
         return self._load_reporter.report(
             self.local, self.policy, self.in_flight, self.queued, state, self._health.slowdown, now
         )
--- a/src/pollenroad/proxy/health.py
+++ b/src/pollenroad/proxy/health.py
@@ -2,6 +2,7 @@
 
 from pollenroad.proxy.boundary import ServerSeen
 from pollenroad.proxy.cold_rate import ColdRateLimiter
+from pollenroad.proxy.endpoint_states import COLD, DOWN, SERVING
 
 FRESH_S = 0.02
 """Age up to which the reported speed of the server is used to start an attempt, in seconds. Work
@@ -72,8 +73,8 @@
     def state(self, now: float) -> str:
         """Return the state that load reports give for a server in service."""
         if self.is_down:
-            return "down"
-        return "cold" if self.is_cold(now) else "serving"
+            return DOWN
+        return COLD if self.is_cold(now) else SERVING
 
     def is_warm(self, now: float) -> bool:
         """Return whether a recent health response shows that the server is warm."""
--- a/src/pollenroad/proxy/load_reporting.py
+++ b/src/pollenroad/proxy/load_reporting.py
@@ -4,15 +4,12 @@
 from collections.abc import Iterable
 
 from pollenroad.addresses import host_of
-from pollenroad.guard.availability import LEAVING
 from pollenroad.messages import LoadReport
 from pollenroad.proxy.admission_policy import AdmissionPolicy
+from pollenroad.proxy.endpoint_states import SERVING
 from pollenroad.proxy.local_server import LocalServer
 from pollenroad.published import RegisteredEndpoint
 
-STATE_BY_CLOSED_REASON = {LEAVING: "draining"}
-"""State in a report by the reason for which no new work is accepted; `out` for other reasons."""
-
 SMALL_FLEET = 16
 """Number of entries up to which all of them get reports, not only those that sent attempts."""
 
@@ -108,6 +105,6 @@
         change = abs(report.in_flight + report.queued - last_sent.in_flight - last_sent.queued)
         if change >= LOAD_STEP * max(1, report.bound):
             return True
-        is_normal = report.state == "serving" and report.slowdown < SLOWDOWN_STEP
+        is_normal = report.state == SERVING and report.slowdown < SLOWDOWN_STEP
         is_normal = is_normal and report.limit_per_s is None
         return not is_normal and now - self._last_sent_at >= REPEAT_S
--- a/src/pollenroad/proxy/server_status.py
+++ b/src/pollenroad/proxy/server_status.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterator
 
 from pollenroad.boundary import Action, Record
+from pollenroad.guard import availability
 from pollenroad.messages import Attempt
+from pollenroad.proxy import endpoint_states
 from pollenroad.proxy.advertised import Advertised
 from pollenroad.proxy.boundary import CheckServer, ServerAdvertised, ServerSeen
 from pollenroad.proxy.health import CHECK_TIMEOUT_S, MAX_FAILED_CHECKS, ServerHealth
@@ -19,6 +21,19 @@
         self.health = ServerHealth(now)
         self.advertised = Advertised()
 
+    def state(self, closed_reason: str, now: float) -> str:
+        """Return the state of the endpoint for load reports; see `on_advertised` for the reason."""
+        endpoint = self._local.endpoint
+        match closed_reason:
+            case "" if not self.advertised.is_known:
+                return endpoint_states.STARTING
+            case "":
+                return self.health.state(now)
+            case availability.LEAVING:
+                is_server = self.advertised.is_leaving or (endpoint and endpoint.is_leaving)
+                return endpoint_states.LEAVING if is_server else endpoint_states.DRAINING
+        return endpoint_states.OUT
+
     def on_seen(self, seen: ServerSeen, now: float) -> Iterator[Action]:
         """Record the status that the server reported."""
         self.advertised.answered()
--- a/tests/proxy/test_server_limit.py
+++ b/tests/proxy/test_server_limit.py
@@ -8,17 +8,22 @@
 from pollenroad.messages import Response
 from pollenroad.proxy.advertised import RateLimit
 from pollenroad.proxy.boundary import CheckServer, ServerAdvertised, ServerSeen
+from pollenroad.proxy.endpoint_states import LEAVING, STARTING
 from pollenroad.proxy.guard import make_guard
 from pollenroad.proxy.refusals import AT_LIMIT, LIMITED
 from tests.proxy.samples import (
     SERVICE,
+    arrived,
     attempt_answers,
     directory_with,
     endpoint,
+    entry_with,
     events_of,
     guard_with,
     of_kind,
+    report,
     send_attempt,
+    sent,
 )
 
 LIMIT_PER_S = 5.0
@@ -97,7 +102,6 @@
             send_attempt(guard, 1.0, number=number)
         self.assertEqual(len(of_kind(guard.handle(Tick(), 1.2), RunAtServer)), 1)
 
-    @unittest.expectedFailure  # KNOWN-RED.txt 16
     def test_a_server_that_states_that_it_leaves_gets_no_new_requests(self):
         guard = guard_with(endpoint(1))
         actions = guard.handle(ServerAdvertised("i-1", is_leaving=True), 1.0)
@@ -106,6 +110,17 @@
         self.assertEqual((refusal.verdict, refusal.reason), ("not-run", "leaving"))
 
 
+class EntryTest(unittest.TestCase):
+    def test_a_leaving_server_is_not_selected_when_its_guard_has_restarted(self):
+        entry = entry_with(endpoint(1), endpoint(2))
+        entry.fleet.view(endpoint(1)).learn(report("i-1", state=LEAVING), 0.1)
+        entry.fleet.get("i-1").learn(report("i-1", state=STARTING, sequence=0), 9.0)
+        attempts = [a for n in range(1, 7) for a in sent(entry.handle(arrived(n), 9.0))]
+        self.assertEqual({attempt.incarnation for attempt in attempts}, {"i-2"})
+        entry.fleet.get("i-1").learn(report("i-1", sequence=1), 9.5)
+        self.assertFalse(entry.fleet.get("i-1").is_leaving)
+
+
 @mock.patch.multiple(server_limit, SECONDS=12.0, END_S=10.0)
 class FleetTest(unittest.TestCase):
     def _play(self, scenario: str) -> server_limit.Play:
--- a/tests/users/test_users_path.py
+++ b/tests/users/test_users_path.py
@@ -107,6 +107,24 @@
             server.statements = {}
         await_condition(lambda: self.fleet.request(host, READ, self._id())[0] == 200)
 
+    def test_a_server_that_states_that_it_leaves_gets_no_requests_beside_a_restarted_daemon(self):
+        host = self.fleet.hosts[0]
+        server = self.fleet.server_by_host[host]
+        server.statements = {"Server-Leaving": "1"}
+        await_condition(
+            lambda: '"event":"server_leaving"' in self.fleet.log_by_host[host].read_text()
+        )
+        runs = len(server.arrived_at)
+        for _ in range(6):
+            self.assertEqual(self.fleet.request(host, READ, self._id())[0], 200)
+        self.fleet.signal(host, signal.SIGKILL)
+        self.fleet.process_by_host[host].wait()
+        self.fleet.start(host)
+        await_condition(lambda: self.fleet.is_ready(host))
+        for entry in self.fleet.hosts * 2:
+            self.assertEqual(self.fleet.request(entry, READ, self._id())[0], 200)
+        self.assertEqual(len(server.arrived_at), runs)
+
     def test_pipelined_requests_run_concurrently_and_are_answered_in_order(self):
         for server in self.fleet.server_by_host.values():
             server.service_s = 0.3
@@ -207,7 +225,7 @@
     def test_a_draining_server_gets_no_new_requests(self):
         leaving = self.fleet.server_by_host[self.fleet.hosts[1]]
         leaving.register("draining")
-        expected = {"guard_state": "draining"}
+        expected = {"guard_state": "leaving"}
         await_condition(lambda: any(e["state"] == expected["guard_state"] and e["vm"].endswith(
             self.fleet.hosts[1]) for e in self._events("guard_state")))  # fmt: skip
         before = sum(leaving.runs.values())
--- a/tests/users/test_users_procedures.py
+++ b/tests/users/test_users_procedures.py
@@ -52,7 +52,7 @@
         self._set_fault("silent")
         entry, other = self.fleet.hosts
         self.fleet.server_by_host[entry].register("draining")
-        await_condition(lambda: any("draining" in t for t in self._texts(entry)))
+        await_condition(lambda: any('"state":"leaving"' in t for t in self._texts(entry)))
         statuses = []
         call = threading.Thread(
             target=lambda: statuses.append(
