--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -157,6 +157,13 @@
         logging.WARNING,
         "A registration belongs to an earlier start of the server.",
     ),
+    CatalogueEntry(522, "store_restored", logging.WARNING, "The platform came back from a copy."),
+    CatalogueEntry(
+        523,
+        "directory_update_ignored",
+        logging.INFO,
+        "An update of the directory was not applied; states the reason.",
+    ),
     CatalogueEntry(502, "platform_failed", logging.WARNING, "A read of the platform failed."),
 )
 
--- a/src/pollenroad/proxy/boundary.py
+++ b/src/pollenroad/proxy/boundary.py
@@ -88,6 +88,8 @@
     """Peer that sent the contents; empty if read from the platform itself."""
     lost_ago_s: float = float("inf")
     """Time since that peer last failed to read the platform, in seconds."""
+    epoch: int = 0
+    """Rises when the platform comes back from a copy, in which revisions are given out again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +114,7 @@
     """Peer that sent the changes; empty if read from the platform itself."""
     lost_ago_s: float = float("inf")
     """Time since that peer last failed to read the platform, in seconds."""
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -35,7 +35,7 @@
 from pollenroad.proxy.directory import make_directory
 from pollenroad.proxy.entry import Entry
 from pollenroad.proxy.guard import make_guard
-from pollenroad.proxy.relay import DirectoryRelay
+from pollenroad.proxy.relay import DirectoryRelay, event_of
 from pollenroad.relay_messages import AskDirectory, Bulletin, DirectoryNews
 
 
@@ -100,11 +100,11 @@
         match event:
             case DirectoryRead() | DirectoryChanged() | DirectoryLost():
                 return [*self._update_directory(event, now), *self.relay.on_read(event, now)]
-            case PeerReceived(_, DirectoryNews()):
-                update = self.relay.newer_event(event)
-                if update is None:
-                    return []
-                return [*self._update_directory(update, now), *self.relay.forward(event)]
+            case PeerReceived(peer, DirectoryNews() as update):
+                if reason := self.relay.reason_to_ignore(update):
+                    return [self.relay.ignored(update, peer, reason)]
+                changed = event_of(update, peer)
+                return [*self._update_directory(changed, now), *self.relay.forward(event)]
             case PeerReceived(_, Bulletin() | AskDirectory()):
                 return self.relay.handle(event, now)
             case RequestArrived() | CallAbandoned() | AttemptUnsent() | PeerLost() | LoadHeard():
--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -44,6 +44,7 @@
     def __init__(self):
         self.configuration: Configuration | None = None
         self.routes = RouteTable(())
+        self.epoch = 0
         self.revision = 0
         self.read_at = float("-inf")
         """Monotonic time of the last update or confirmation, in seconds."""
@@ -96,10 +97,12 @@
                 return self._mark_lost(reason, now)
             case DirectoryRead():
                 self._lost_at = max(self._lost_at, now - event.lost_ago_s)
-                records = [*self._mark_regained(now), *self._replace_all(event, now)]
+                restored = self._observe_epoch(event)
+                records = [*self._mark_regained(now), *restored, *self._replace_all(event, now)]
             case DirectoryChanged(revision, items):
                 self._lost_at = max(self._lost_at, now - event.lost_ago_s)
-                records = [*self._mark_regained(now), *self._apply_changes(items, now)]
+                restored = self._observe_epoch(event)
+                records = [*self._mark_regained(now), *restored, *self._apply_changes(items, now)]
                 self.revision = max(self.revision, revision)
         self.read_at = now
         return records
@@ -144,6 +147,15 @@
             self._lapsed_until[incarnation] = now + RENEWAL_GRACE_S
         return [Record("directory_regained", (("age_s", round(now - self.read_at, 3)),))]
 
+    def _observe_epoch(self, event: DirectoryRead | DirectoryChanged) -> list[Record]:
+        """Return the record that the platform has come back from a copy, if it has."""
+        before, self.epoch = self.epoch, max(self.epoch, event.epoch)
+        if not self.revision or self.epoch == before:
+            return []
+        fields = (("epoch", self.epoch), ("before", before), ("peer", event.peer))
+        revisions = (("revision", event.revision), ("revision_before", self.revision))
+        return [Record("store_restored", (*fields, *revisions))]
+
     def _replace_all(self, event: DirectoryRead, now: float) -> Iterator[Record]:
         self.revision = event.revision
         if event.configuration is not None:
--- a/src/pollenroad/proxy/relay.py
+++ b/src/pollenroad/proxy/relay.py
@@ -161,17 +161,18 @@
                 yield SendPeer(peer, update)
         yield from self._announce_to_other_domains()
 
-    def newer_event(self, event: PeerReceived) -> DirectoryEvent | None:
-        """Return the event in a peer's message if it is newer than the directory, else None."""
-        match event:
-            case PeerReceived(peer, DirectoryNews() as update):
-                if update.revision <= self._directory.revision:
-                    return None
-                if update.is_whole:
-                    return _read_of(update, peer)
-                if update.after <= self._directory.revision:
-                    return _changed_of(update, peer)
-        return None
+    def reason_to_ignore(self, update: DirectoryNews) -> str:
+        """Return why a peer's update is not applied, or an empty string."""
+        if update.revision <= self._directory.revision:
+            return "not newer"
+        if not update.is_whole and update.after > self._directory.revision:
+            return "after a gap"
+        return ""
+
+    def ignored(self, update: DirectoryNews, peer: str, reason: str) -> Record:
+        """Return the record of an update that is not applied."""
+        fields = (("peer", peer), ("reason", reason), ("update_revision", update.revision))
+        return Record("directory_update_ignored", (*fields, ("revision", self._directory.revision)))
 
     def forward(self, event: PeerReceived) -> Iterator[Action]:
         """Send an update from another domain, newer than this watcher's own reads, to this domain.
@@ -301,6 +302,11 @@
     )
 
 
+def event_of(update: DirectoryNews, peer: str) -> DirectoryEvent:
+    """Return the event for an update from a peer."""
+    return _read_of(update, peer) if update.is_whole else _changed_of(update, peer)
+
+
 def _changed_of(update: DirectoryNews, peer: str) -> DirectoryChanged:
     items = (
         *((update.configuration,) if update.configuration else ()),
