Copies of the store are ordered by epoch before revision

Cause: daemons compared revisions of two histories that count from the same number. An update at revision 13 of epoch 2 was not newer than revision 13 of epoch 1. Ruled out: a refused configuration (none is logged); a watch that missed the change (not seen; its answers are checked now all the same).

Why this works: a position is epoch, then revision, for copies, updates between daemons, announcements and registrations; an answer of a later epoch leads to a complete read. Since a copy is older than what daemons know, servers that had left, servers that it lacks and domains out of service are kept as known for as long as servers and operators need to write again; a daemon that starts on a copy gets the configuration that others have kept.

--- a/src/pollenroad/proxy/boundary.py
+++ b/src/pollenroad/proxy/boundary.py
@@ -76,6 +76,18 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """State of the platform that a copy of it reflects; a later one is greater."""
+
+    epoch: int = 0
+    """Rises when the platform comes back from a copy, in which revisions are given out again."""
+    revision: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.epoch}.{self.revision}"
+
+
 @dataclass(frozen=True, slots=True)
 class DirectoryRead:
     """The complete contents of the platform at one revision."""
@@ -89,7 +101,11 @@
     lost_ago_s: float = float("inf")
     """Time since that peer last failed to read the platform, in seconds."""
     epoch: int = 0
-    """Rises when the platform comes back from a copy, in which revisions are given out again."""
+
+    @property
+    def position(self) -> Position:
+        """Position of the contents."""
+        return Position(self.epoch, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +132,11 @@
     """Time since that peer last failed to read the platform, in seconds."""
     epoch: int = 0
 
+    @property
+    def position(self) -> Position:
+        """Position after the changes."""
+        return Position(self.epoch, self.revision)
+
 
 @dataclass(frozen=True, slots=True)
 class DirectoryLost:
--- a/src/pollenroad/proxy/budgets.py
+++ b/src/pollenroad/proxy/budgets.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pollenroad.entry.retries import Budget
+from pollenroad.proxy.boundary import Position
 from pollenroad.proxy.directory import Directory
 
 RATIO_SHARE = 0.5
@@ -45,7 +46,7 @@
         self._rules = rules
         self._directory = directory
         self._budget_by_service: dict[str, Budget] = {}
-        self._revision = -1
+        self._position: Position | None = None
         self._entry_share = rules.per_entry(0)
 
     def set_rules(self, rules: BudgetRules) -> None:
@@ -55,7 +56,7 @@
 
     def of(self, service: str, now: float) -> Budget:
         """Return the retry budget of a service."""
-        if self._revision != self._directory.revision:
+        if self._position != self._directory.position:
             self._recompute_shares()
         budget = self._budget_by_service.get(service)
         if budget is None:
@@ -65,7 +66,7 @@
         return budget
 
     def _recompute_shares(self) -> None:
-        self._revision = self._directory.revision
+        self._position = self._directory.position
         count = len({endpoint.guard for endpoint in self._directory.all_endpoints()})
         self._entry_share = self._rules.per_entry(count)
         for budget in self._budget_by_service.values():
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -33,9 +33,10 @@
 from pollenroad.proxy.budgets import BudgetRules
 from pollenroad.proxy.cold_rate import ColdBound
 from pollenroad.proxy.directory import make_directory
+from pollenroad.proxy.directory_updates import event_of
 from pollenroad.proxy.entry import Entry
 from pollenroad.proxy.guard import make_guard
-from pollenroad.proxy.relay import DirectoryRelay, event_of
+from pollenroad.proxy.relay import DirectoryRelay
 from pollenroad.relay_messages import AskDirectory, Bulletin, DirectoryNews
 
 
@@ -102,7 +103,9 @@
                 return [*self._update_directory(event, now), *self.relay.on_read(event, now)]
             case PeerReceived(peer, DirectoryNews() as update):
                 if reason := self.relay.reason_to_ignore(update):
-                    return [self.relay.ignored(update, peer, reason)]
+                    ignored = self.relay.ignored(update, peer, reason)
+                    newest = update.configuration if update.is_whole else None
+                    return [ignored, *self.directory.learn(newest)]
                 changed = event_of(update, peer)
                 return [*self._update_directory(changed, now), *self.relay.forward(event)]
             case PeerReceived(_, Bulletin() | AskDirectory()):
@@ -120,7 +123,7 @@
             case ServerSeen() | ServerAdvertised() | ServerSilent():
                 return self.guard.handle(event, now)
             case Tick():
-                actions = [*self.directory.drop_lapsed(now), *self.relay.handle(event, now)]
+                actions = [*self.directory.expire(now), *self.relay.handle(event, now)]
                 return [*actions, *self.entry.handle(event, now), *self.guard.handle(event, now)]
         return []
 
--- a/src/pollenroad/proxy/directory_reader.py
+++ b/src/pollenroad/proxy/directory_reader.py
@@ -14,7 +14,13 @@
 from gevent.event import Event as Flag
 
 from pollenroad.exceptions import ExchangeError, HistoryLost, PlatformError
-from pollenroad.proxy.boundary import DirectoryChanged, DirectoryEvent, DirectoryLost, DirectoryRead
+from pollenroad.proxy.boundary import (
+    DirectoryChanged,
+    DirectoryEvent,
+    DirectoryLost,
+    DirectoryRead,
+    Position,
+)
 from pollenroad.proxy.directory import Directory
 from pollenroad.shell.tasks import spawn_supervised
 
@@ -66,8 +72,8 @@
             ExchangeError: If the connection fails.
         """
 
-    def probe(self) -> int:
-        """Return a recent revision of the platform, by a read that may be stale but costs little.
+    def probe(self) -> Position:
+        """Return a recent position of the platform, by a read that may be stale but costs little.
 
         Raises:
             PlatformError: If the platform does not answer.
@@ -142,16 +148,34 @@
     def _watch_once(self) -> None:
         wait_s = WATCH_TIMEOUT_S
         if self._is_lost:
-            self._source.probe()
+            self._check_epoch(self._source.probe().epoch)
             wait_s = CONFIRM_WAIT_S
         changes = self._source.changes(self._directory.revision, wait_s)
+        self._check_epoch(changes.epoch)
         self._answered()
         self._post(changes)
         if changes.items:
             gevent.sleep(self.batch_delay_s)
 
+    def _check_epoch(self, epoch: int) -> None:
+        """Check that the platform has not come back from a copy.
+
+        The revision to watch from may have been given out again, for another change.
+
+        Raises:
+            HistoryLost: If it has.
+            PlatformError: If the answer is older than what is known.
+        """
+        known = self._directory.position.epoch
+        if epoch > known:
+            raise HistoryLost(f"epoch {epoch} of the platform after {known}")
+        if epoch < known:
+            raise PlatformError(f"an answer of epoch {epoch} of the platform after {known}")
+
     def _read(self) -> None:
         contents = self._source.read()
+        if contents.epoch < self._directory.position.epoch:
+            raise PlatformError(f"an answer of epoch {contents.epoch} of the platform")
         self._answered()
         self._has_read = True
         self._post(contents)
@@ -175,16 +199,16 @@
 
     def _probe(self) -> None:
         try:
-            revision = self._source.probe()
+            position = self._source.probe()
         except (PlatformError, ExchangeError) as error:
             if self._wanted.is_set() and not self._is_lost:
                 self._report_failure(error)
                 self._restart()
             return
         self._answered_at = probed_at = time.monotonic()
-        if revision > self._directory.revision:
+        if position > self._directory.position:
             gevent.sleep(DEAF_AFTER_S)
-            is_deaf = revision > self._directory.revision and self._answered_at == probed_at
+            is_deaf = position > self._directory.position and self._answered_at == probed_at
             if is_deaf and self._wanted.is_set():
                 self._report_failure(PlatformError("a long poll misses changes"))
                 self._restart()
--- a/src/pollenroad/proxy/relay.py
+++ b/src/pollenroad/proxy/relay.py
@@ -19,12 +19,13 @@
     DirectoryEvent,
     DirectoryLost,
     DirectoryRead,
-    EndpointRemoved,
     Event,
+    Position,
     WatchDirectory,
 )
 from pollenroad.proxy.directory import Directory
-from pollenroad.published import Configuration, DomainOut, RegisteredEndpoint
+from pollenroad.proxy.directory_updates import position_of, update_of
+from pollenroad.published import DomainOut
 from pollenroad.relay_messages import AskDirectory, Bulletin, DirectoryNews
 
 WATCHERS = 1
@@ -72,8 +73,9 @@
     """The last announcement that was received from a watcher."""
 
     at: float
-    revision: int
+    position: Position
     has_platform: bool
+    config_version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,7 +155,7 @@
             case DirectoryChanged():
                 if not event.items:
                     return
-                update = _update_of(event, self._directory.lost_ago_s(now))
+                update = update_of(event, self._directory.lost_ago_s(now))
         if not self.is_watching:
             return
         for peer in self._ranked_peers(self._failure_domain):
@@ -163,16 +165,19 @@
 
     def reason_to_ignore(self, update: DirectoryNews) -> str:
         """Return why a peer's update is not applied, or an empty string."""
-        if update.revision <= self._directory.revision:
+        position = self._directory.position
+        if position_of(update) <= position:
             return "not newer"
-        if not update.is_whole and update.after > self._directory.revision:
-            return "after a gap"
-        return ""
+        if update.is_whole:
+            return ""
+        is_adjacent = update.epoch == position.epoch and update.after <= position.revision
+        return "" if is_adjacent else "after a gap"
 
     def ignored(self, update: DirectoryNews, peer: str, reason: str) -> Record:
         """Return the record of an update that is not applied."""
-        fields = (("peer", peer), ("reason", reason), ("update_revision", update.revision))
-        return Record("directory_update_ignored", (*fields, ("revision", self._directory.revision)))
+        fields = (("peer", peer), ("reason", reason), ("update", str(position_of(update))))
+        position = str(self._directory.position)
+        return Record("directory_update_ignored", (*fields, ("position", position)))
 
     def forward(self, event: PeerReceived) -> Iterator[Action]:
         """Send an update from another domain, newer than this watcher's own reads, to this domain.
@@ -191,13 +196,15 @@
 
     def _actions(self, event: Event, now: float) -> Iterator[Action]:
         match event:
-            case PeerReceived(peer, Bulletin(revision, has_platform)):
-                self._last_announcement_by_peer[peer] = _LastAnnouncement(
-                    now, revision, has_platform
+            case PeerReceived(peer, Bulletin() as bulletin):
+                last = _LastAnnouncement(
+                    now, position_of(bulletin), bulletin.has_platform, bulletin.config_version
                 )
-                if revision > self._directory.revision and self._behind_since is None:
+                self._last_announcement_by_peer[peer] = last
+                if self._is_behind(last) and self._behind_since is None:
                     self._behind_since = now
-                if has_platform and revision == self._directory.revision and not self.is_watching:
+                is_equal = last.position == self._directory.position
+                if last.has_platform and is_equal and not self.is_watching:
                     yield from self._directory.confirm(now)
             case PeerReceived(peer, AskDirectory()):
                 yield SendPeer(peer, self._full_update(now))
@@ -235,22 +242,36 @@
             if now - last.at < ANNOUNCEMENT_TTL_S
         }
         self._last_announcement_by_peer = fresh
-        newest = max(fresh, key=lambda peer: fresh[peer].revision, default="")
-        if not newest or fresh[newest].revision <= self._directory.revision:
+        newer = [peer for peer, last in fresh.items() if self._is_behind(last)]
+        if not newer:
             self._behind_since = None
             return
+        newest = max(newer, key=lambda peer: (fresh[peer].position, fresh[peer].config_version))
         if self._behind_since is None:
             self._behind_since = now
         elif now - self._behind_since >= CATCH_UP_DELAY_S:
             self._behind_since = now
-            fields = (("peer", newest), ("revision", self._directory.revision))
-            yield Record("directory_behind", (*fields, ("newest", fresh[newest].revision)))
+            fields = (("peer", newest), ("position", str(self._directory.position)))
+            yield Record("directory_behind", (*fields, ("newest", str(fresh[newest].position))))
             yield SendPeer(newest, AskDirectory())
 
+    def _is_behind(self, last: _LastAnnouncement) -> bool:
+        """Return whether another daemon has a newer copy, or a newer configuration in force.
+
+        After the platform came back from a copy, its configuration may be older than the one that
+        the other daemons have kept.
+        """
+        configuration = self._directory.configuration
+        version = configuration.version if configuration else 0
+        return last.position > self._directory.position or last.config_version > version
+
     # --- Messages to peers ---
 
     def _announcement(self) -> Bulletin:
-        return Bulletin(self._directory.revision, not self._directory.is_lost)
+        directory = self._directory
+        version = directory.configuration.version if directory.configuration else 0
+        position = directory.position
+        return Bulletin(position.revision, not directory.is_lost, position.epoch, version)
 
     def _announce_to_other_domains(self) -> Iterator[Action]:
         domains = {info.failure_domain for info in self._known_by_peer.values()}
@@ -266,63 +287,12 @@
             is_whole=True,
             configuration=directory.configuration,
             endpoints=tuple(directory.all_endpoints()),
-            domains=tuple(DomainOut(name, True) for name in sorted(directory.out_domains)),
+            domains=tuple(DomainOut(name, True) for name in sorted(directory.stated_out_domains)),
             lost_ago_s=min(1e9, directory.lost_ago_s(now)),
+            epoch=directory.position.epoch,
         )
 
 
 def _rank(peer: str) -> int:
     """Return the sort key of a daemon, the same on all daemons; the lowest number ranks highest."""
     return zlib.crc32(peer.encode())
-
-
-def _update_of(event: DirectoryChanged, lost_ago_s: float) -> DirectoryNews:
-    """Return the message with these changes; the last of several changes to one key wins."""
-    endpoint_by_incarnation: dict[str, RegisteredEndpoint | None] = {}
-    domain_by_name: dict[str, DomainOut] = {}
-    configuration = None
-    for item in event.items:
-        match item:
-            case Configuration():
-                configuration = item
-            case RegisteredEndpoint():
-                endpoint_by_incarnation[item.incarnation] = item
-            case EndpointRemoved(incarnation):
-                endpoint_by_incarnation[incarnation] = None
-            case DomainOut():
-                domain_by_name[item.failure_domain] = item
-    return DirectoryNews(
-        after=event.after,
-        revision=event.revision,
-        configuration=configuration,
-        endpoints=tuple(e for e in endpoint_by_incarnation.values() if e is not None),
-        removed=tuple(name for name, e in endpoint_by_incarnation.items() if e is None),
-        domains=tuple(domain_by_name.values()),
-        lost_ago_s=min(1e9, lost_ago_s),
-    )
-
-
-def event_of(update: DirectoryNews, peer: str) -> DirectoryEvent:
-    """Return the event for an update from a peer."""
-    return _read_of(update, peer) if update.is_whole else _changed_of(update, peer)
-
-
-def _changed_of(update: DirectoryNews, peer: str) -> DirectoryChanged:
-    items = (
-        *((update.configuration,) if update.configuration else ()),
-        *update.endpoints,
-        *(EndpointRemoved(name) for name in update.removed),
-        *update.domains,
-    )
-    return DirectoryChanged(update.revision, items, update.after, peer, update.lost_ago_s)
-
-
-def _read_of(update: DirectoryNews, peer: str) -> DirectoryRead:
-    return DirectoryRead(
-        revision=update.revision,
-        configuration=update.configuration,
-        endpoint_by_incarnation={e.incarnation: e for e in update.endpoints},
-        out_domains=frozenset(d.failure_domain for d in update.domains if d.is_out),
-        peer=peer,
-        lost_ago_s=update.lost_ago_s,
-    )
--- a/src/pollenroad/published.py
+++ b/src/pollenroad/published.py
@@ -90,6 +90,8 @@
     born_ms: int = 0
     """Wall clock time of this start, in milliseconds since the epoch; 0 if not stated. A server may
     restart under the same incarnation; of several starts at one address, the latest is used."""
+    epoch: int = 0
+    """Epoch of the platform in which it was read; see `pollenroad.proxy.boundary.Position`."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/relay_messages.py
+++ b/src/pollenroad/relay_messages.py
@@ -121,6 +121,8 @@
     domains: tuple[DomainOut, ...] = ()
     lost_ago_s: float = 1e9
     """Time since the sender's last failure to read the platform, in seconds."""
+    epoch: int = 0
+    """Epoch of `after` and `revision`, which rises when the platform comes back from a copy."""
 
 
 class Bulletin(Message, tag="bulletin"):
@@ -130,6 +132,10 @@
     """Latest revision that the sender has read."""
     has_platform: bool
     """Whether the sender's last read of the platform succeeded."""
+    epoch: int = 0
+    """Epoch of the revision."""
+    config_version: int = 0
+    """Version of the configuration that the sender has in force."""
 
 
 class AskDirectory(Message, tag="ask-directory"):
--- a/tests/proxy/test_directory_reader.py
+++ b/tests/proxy/test_directory_reader.py
@@ -8,7 +8,7 @@
 
 from pollenroad.exceptions import PlatformError
 from pollenroad.proxy import directory_reader
-from pollenroad.proxy.boundary import DirectoryChanged, DirectoryLost, DirectoryRead
+from pollenroad.proxy.boundary import DirectoryChanged, DirectoryLost, DirectoryRead, Position
 from pollenroad.proxy.directory import make_directory
 from pollenroad.proxy.directory_reader import DirectoryReader
 
@@ -22,6 +22,7 @@
     """A platform whose long polls hang while `is_deaf` is set, and that a reader can probe."""
 
     def __init__(self):
+        self.epoch = 0
         self.revision = 1
         self.is_deaf = True
         self.is_silent = False
@@ -32,7 +33,7 @@
     def read(self) -> DirectoryRead:
         if self.errors:
             raise self.errors.pop()
-        return DirectoryRead(self.revision, None)
+        return DirectoryRead(self.revision, None, epoch=self.epoch)
 
     def changes(self, after: int, wait_s: float) -> DirectoryChanged:
         self.polls += 1
@@ -42,12 +43,12 @@
             gevent.sleep(BRIEF_S)
             if wait_s < 1.0 and not self.is_deaf:
                 break
-        return DirectoryChanged(self.revision, (), after)
+        return DirectoryChanged(self.revision, (), after, epoch=self.epoch)
 
-    def probe(self) -> int:
+    def probe(self) -> Position:
         if self.is_silent:
             raise PlatformError("no answer in time")
-        return self.revision
+        return Position(self.epoch, self.revision)
 
     def close(self) -> None:
         """Nothing to close: a killed task ends its own request."""
@@ -112,6 +113,27 @@
         self.platform.revision = 2
         self._await(lambda: self.directory.revision == 2)
 
+    def test_a_watch_that_a_restored_platform_answers_leads_to_a_complete_read(self):
+        self.platform.epoch = 1
+        self._start()
+        self.platform.epoch, self.platform.revision, self.platform.is_deaf = 2, 3, False
+        self._await(lambda: self.directory.position == Position(2, 3))
+        kinds = [type(event) for event in self.events]
+        self.assertEqual(kinds[:3], [DirectoryRead, DirectoryLost, DirectoryRead])
+
+    def test_an_open_watch_at_a_restored_platform_is_replaced(self):
+        self.platform.epoch = 1
+        self._start()
+        self.platform.epoch = 2
+        self._await(lambda: self.directory.position == Position(2, 1))
+
+    def test_a_late_answer_of_an_earlier_epoch_is_not_applied(self):
+        self.platform.epoch = 2
+        self._start()
+        self.platform.epoch, self.platform.revision, self.platform.is_deaf = 1, 9, False
+        self._await(lambda: isinstance(self.events[-1], DirectoryLost))
+        self.assertEqual(self.directory.position, Position(2, 1))
+
     def test_watching_that_stops_within_an_update_leaves_one_reader(self):
         self._start()
         self.platform.is_deaf = False
--- a/tests/proxy/test_proxy_directory.py
+++ b/tests/proxy/test_proxy_directory.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from pollenroad.proxy.boundary import DirectoryChanged, DirectoryLost, EndpointRemoved
-from pollenroad.proxy.directory import MASS_LAPSE_GRACE_S, RENEWAL_GRACE_S
+from pollenroad.proxy.registrations import MASS_LAPSE_GRACE_S, RENEWAL_GRACE_S
 from pollenroad.proxy.routes import RouteTable, Splitter
 from pollenroad.published import DomainOut, Share
 from tests.proxy.samples import (
@@ -80,14 +80,14 @@
         self.assertTrue(directory.is_lapsed("i-1"))
         directory.handle(DirectoryChanged(12, (endpoint(1, revision=30),)), 13.0)
         self.assertFalse(directory.is_lapsed("i-1"))
-        directory.drop_lapsed(12.0 + RENEWAL_GRACE_S)
+        directory.expire(12.0 + RENEWAL_GRACE_S)
         self.assertEqual(names(directory), ["i-1", "i-2"])
 
     def test_a_lapsed_endpoint_that_does_not_register_again_is_dropped(self):
         directory = directory_with(endpoint(1), endpoint(2))
         directory.handle(DirectoryLost("no answer"), 10.0)
         directory.handle(DirectoryChanged(11, (EndpointRemoved("i-1"),)), 12.0)
-        directory.drop_lapsed(12.0 + RENEWAL_GRACE_S)
+        directory.expire(12.0 + RENEWAL_GRACE_S)
         self.assertEqual(names(directory), ["i-2"])
 
     def test_the_grace_time_counts_from_when_the_platform_is_reachable_again(self):
@@ -96,7 +96,7 @@
         directory.handle(DirectoryChanged(11, ()), 12.0)
         directory.handle(DirectoryChanged(12, (EndpointRemoved("i-1"),)), 13.8)
         self.assertTrue(directory.is_lapsed("i-1"))
-        directory.drop_lapsed(12.0 + RENEWAL_GRACE_S)
+        directory.expire(12.0 + RENEWAL_GRACE_S)
         self.assertEqual(names(directory), ["i-2"])
         directory.handle(DirectoryChanged(13, (EndpointRemoved("i-2"),)), 12.1 + RENEWAL_GRACE_S)
         self.assertEqual(names(directory), [])
@@ -106,7 +106,7 @@
         directory.handle(DirectoryLost("no answer"), 10.0)
         directory.handle(DirectoryChanged(11, (EndpointRemoved("i-1"),)), 11.0)
         directory.handle(DirectoryLost("no answer"), 11.5)
-        directory.drop_lapsed(60.0)
+        directory.expire(60.0)
         self.assertEqual(names(directory), ["i-1", "i-2"])
         self.assertIsNone(directory.next_due(), "a timer without effect would fire forever")
 
@@ -115,7 +115,7 @@
         removed = tuple(EndpointRemoved(f"i-{n}") for n in (1, 2, 3))
         directory.handle(DirectoryChanged(11, removed), 100.0)
         self.assertEqual(len(names(directory)), 6)
-        directory.drop_lapsed(100.0 + MASS_LAPSE_GRACE_S)
+        directory.expire(100.0 + MASS_LAPSE_GRACE_S)
         self.assertEqual(names(directory), ["i-4", "i-5", "i-6"])
 
     def test_the_newest_incarnation_at_an_address_counts(self):
--- a/tests/users/store.py
+++ b/tests/users/store.py
@@ -32,6 +32,7 @@
         self._item_by_key: dict[str, dict] = {}
         self._log: list[dict] = []
         self._last_forgotten_revision = 0
+        self._epoch = 1
         store = self
 
         class Handler(StreamRequestHandler):
@@ -84,6 +85,20 @@
             self._last_forgotten_revision = self._revision
             self._lock.notify_all()
 
+    def copy(self) -> tuple[dict[str, dict], int]:
+        """Return a copy of the items and the revision."""
+        with self._lock:
+            return dict(self._item_by_key), self._revision
+
+    def restore(self, copy: tuple[dict[str, dict], int]) -> None:
+        """Come back from a copy: what was written since is gone, and revisions start from there."""
+        with self._lock:
+            self._item_by_key, self._revision = dict(copy[0]), copy[1]
+            self._log.clear()
+            self._last_forgotten_revision = self._revision
+            self._epoch += 1
+            self._lock.notify_all()
+
     # --- Calls ---
 
     def _serve(self, handler: StreamRequestHandler) -> None:
@@ -95,7 +110,7 @@
             if self.mode == "silent":
                 handler.rfile.read()  # Returns when the reader closes the connection.
                 return
-            fields = {"Content-Type": "application/json"}
+            fields = {"Content-Type": "application/json", "Store-Era": str(self._epoch)}
             handler.wfile.write(answer_bytes(status, fields, json.dumps(body).encode()))
 
     def _answer(self, first: str) -> tuple[int, dict]:
@@ -115,7 +130,7 @@
     def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
         after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self._last_forgotten_revision:
+            if not self._last_forgotten_revision <= after <= self._revision:
                 return 410, {"error": "history gone"}
             events = [e for e in self._log if e["revision"] > after]
             left_s = end - time.monotonic()
--- a/tests/users/test_users_path.py
+++ b/tests/users/test_users_path.py
@@ -260,6 +260,22 @@
         for host in self.fleet.hosts:
             await_condition(lambda host=host: self._version(host) == 12, 30.0)
 
+    def test_changes_after_the_store_came_back_from_a_copy_are_in_force_everywhere(self):
+        store = self.fleet.store
+        copy = store.copy()
+        for version in (5, 6):
+            store.put("op/config", configuration(version))
+        for host in self.fleet.hosts:
+            await_condition(lambda host=host: self._version(host) == 6)
+        store.restore(copy)
+        for version in (6, 7):
+            store.put("op/config", configuration(version))
+        for host in self.fleet.hosts:
+            await_condition(lambda host=host: self._version(host) == 7, 30.0)
+        versions = [[e["version"] for e in self._log(h) if e["event"] == "configuration_in_force"]
+                    for h in self.fleet.hosts]  # fmt: skip
+        self.assertEqual(versions, [sorted(v) for v in versions])
+
     def test_a_killed_daemon_gets_no_requests_until_it_is_restarted(self):
         host, others = self.fleet.hosts[0], self.fleet.hosts[1:]
         self.fleet.signal(host, signal.SIGKILL)
