A lapsed endpoint is not passed on as registered

What callers saw: nothing traced to it. By the code and the test, a daemon that asks another for everything keeps an endpoint for good that the sender only holds for 2.2 s while its lease is in doubt: requests go on to a server that has ended.

Cause: complete updates listed all endpoints in use, among them lapsed ones. Why this works: they list what the platform holds; the receiver decides by itself how long to keep what is missing.

--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -55,6 +55,10 @@
         """Yield every known endpoint, including those that are leaving."""
         return self._registrations.all()
 
+    def registered_endpoints(self) -> Iterator[RegisteredEndpoint]:
+        """Yield the endpoints that the platform holds, without lapsed ones."""
+        return (e for e in self.all_endpoints() if not self.is_lapsed(e.incarnation))
+
     def is_usable(self, endpoint: RegisteredEndpoint) -> bool:
         """Return whether an endpoint accepts new work."""
         return not endpoint.is_leaving and endpoint.failure_domain not in self.out_domains
--- a/src/pollenroad/proxy/relay.py
+++ b/src/pollenroad/proxy/relay.py
@@ -286,7 +286,7 @@
             revision=directory.revision,
             is_whole=True,
             configuration=directory.configuration,
-            endpoints=tuple(directory.all_endpoints()),
+            endpoints=tuple(directory.registered_endpoints()),
             domains=tuple(DomainOut(name, True) for name in sorted(directory.stated_out_domains)),
             lost_ago_s=min(1e9, directory.lost_ago_s(now)),
             epoch=directory.position.epoch,
--- a/tests/proxy/test_proxy_relay.py
+++ b/tests/proxy/test_proxy_relay.py
@@ -11,6 +11,7 @@
     WatchDirectory,
 )
 from pollenroad.proxy.cores import DaemonLocation, ProxyCores
+from pollenroad.proxy.registrations import RENEWAL_GRACE_S
 from pollenroad.proxy.relay import MAX_SEARCHERS, WATCHERS
 from pollenroad.relay_messages import AskDirectory, Bulletin, DirectoryNews
 from tests.proxy.samples import RETRIES, SERVICE, configuration, endpoint, of_kind, read
@@ -151,6 +152,18 @@
         self.assertNotIn(gone.incarnation, known)
         self.assertEqual(restarted.directory.configuration.version, 9)
 
+    def test_an_endpoint_that_may_have_lapsed_is_not_passed_on_as_registered(self):
+        sender, receiver = list(self.fleet.cores_by_peer)[:2]
+        cores = self.fleet.cores_by_peer[sender]
+        cores.handle(DirectoryLost("no answer"), self.fleet.now)
+        cores.handle(DirectoryChanged(11, (EndpointRemoved("i-3"),), 10), self.fleet.now)
+        self.assertTrue(cores.directory.is_lapsed("i-3"))
+        self.fleet.post(sender, PeerReceived(receiver, AskDirectory()))
+        self.fleet.run(RENEWAL_GRACE_S + 0.2)
+        for peer in (sender, receiver):
+            known = self.fleet.cores_by_peer[peer].directory.endpoints(SERVICE)
+            self.assertNotIn("i-3", {e.incarnation for e in known})
+
     def test_an_isolated_daemon_watches_by_itself(self):
         cores = Fleet(12).cores_by_peer["127.0.0.1:7000"]
         cores.handle(read(*self.fleet.endpoints), 0.0)
