--- a/tests/users/soak.py
+++ b/tests/users/soak.py
@@ -47,6 +47,15 @@
     "cut", "extra", "unsigned", "encoded", "refuse", "shed", "error", "reset", "endless",
     "late-copy", "",
 )  # fmt: skip
+STATEMENTS = (
+    {}, {}, {"Server-Limit": "0"}, {"Server-Limit": "6.5"}, {"Server-Limit": "many"},
+    {"Server-Leaving": "1"},
+)  # fmt: skip
+LIMIT_PER_S = 3
+LIMIT_WINDOW_S = 4.0
+LIMIT_ALLOWED = 1.5 * LIMIT_WINDOW_S * LIMIT_PER_S + 5
+"""Requests that a server with this limit may get in any such window."""
+
 LINK_FAULTS = ("delay", "silent", "one-way", "refuse", "")
 
 
@@ -77,6 +86,8 @@
     is_finished: bool = False
     disrupted_until: float = 0.0
     stopped_at: dict[str, float] = field(default_factory=dict)
+    copy: tuple[dict[str, dict], int] | None = None
+    """Copy of the store from which it may come back."""
 
     # --- Clients ---
 
@@ -135,7 +146,8 @@
             rng.choice(
                 (self._restart, self._kill, self._pause, self._set_server_fault,
                  self._set_link_fault, self._fail_store, self._change_configuration,
-                 self._change_registration)  # fmt: skip
+                 self._change_registration, self._set_statements, self._copy_store,
+                 self._restore_store)  # fmt: skip
             )(rng)
             time.sleep(rng.uniform(0.05, 0.8))
         self._clear_faults()
@@ -176,6 +188,26 @@
         value = configuration(self.fleet.version, services=services, timeout=timeout)
         self.fleet.store.put("op/config", value)
 
+    def _set_statements(self, rng: random.Random) -> None:
+        server = self.fleet.server_by_host[rng.choice(self.fleet.hosts)]
+        server.statements = rng.choice(STATEMENTS)
+
+    def _copy_store(self, _rng: random.Random) -> None:
+        self.copy = self.fleet.store.copy()
+
+    def _restore_store(self, rng: random.Random) -> None:
+        """Let the store come back from a copy; what was lost is written again a little later."""
+        if self.copy is None:
+            return
+        self.fleet.store.restore(self.copy)
+        threading.Timer(rng.uniform(0.0, 1.5), self._write_again).start()
+
+    def _write_again(self) -> None:
+        value = configuration(self.fleet.version, services=self.fleet.services)
+        self.fleet.store.put("op/config", value)
+        for server in self.fleet.server_by_host.values():
+            server.register("draining" if server.is_draining else "ready")
+
     def _change_registration(self, rng: random.Random) -> None:
         server = self.fleet.server_by_host[rng.choice(self.fleet.hosts)]
         server.register(rng.choice(("ready", "ready", "draining")))
@@ -203,7 +235,7 @@
         for host in self.fleet.hosts:
             self.fleet.link_by_host[host].mode = ""
             server = self.fleet.server_by_host[host]
-            server.fault, server.slowness = "", 100
+            server.fault, server.slowness, server.statements = "", 100, {}
             server.register()
             self.fleet.signal(host, signal.SIGCONT)
 
@@ -236,7 +268,10 @@
         host = self.fleet.hosts[0]
         server = self.fleet.server_by_host[host]
         time.sleep(QUIET_S)
-        server.register("draining")
+        if self.seed % 2:
+            server.register("draining")
+        else:
+            server.statements = {"Server-Leaving": "1"}
         bound = time.monotonic() + DRAIN_S
         time.sleep(DRAIN_S + 1.0)
         late_arrivals = [at for at in server.arrived_at if at > bound]
@@ -245,6 +280,30 @@
                 f"drain: {len(late_arrivals)} requests reached {host} after {DRAIN_S:g} s"
             )
 
+    def check_limit(self) -> None:
+        """Check, without other faults, that a server gets no more than the limit that it states."""
+        host = self.fleet.hosts[1]
+        server = self.fleet.server_by_host[host]
+        server.statements = {"Server-Limit": str(LIMIT_PER_S)}
+        time.sleep(1.0)
+        since = time.monotonic()
+        time.sleep(LIMIT_WINDOW_S)
+        count = sum(since <= at < since + LIMIT_WINDOW_S for at in server.arrived_at)
+        if count > LIMIT_ALLOWED:
+            self.violations.append(f"limit: {count} requests reached {host}")
+
+    def check_configuration(self) -> None:
+        """Check that every daemon has the newest configuration, and none went back to an older."""
+        for host in self.fleet.hosts:
+            versions: list[int] = []
+            for line in self.fleet.log_by_host[host].read_text().splitlines():
+                if '"event":"daemon_started"' in line:
+                    versions.clear()
+                if '"event":"configuration_in_force"' in line:
+                    versions.append(json.loads(line)["version"])
+            if versions != sorted(versions) or versions[-1:] != [self.fleet.version]:
+                self.violations.append(f"configuration: {host} {versions} of {self.fleet.version}")
+
     def check_runs(self) -> None:
         """Check that no incomplete, unknown or refused request ran, and none ran twice.
 
@@ -280,12 +339,14 @@
             task.start()
         soak.inject_faults(seconds)
         soak.check_recovery()
+        soak.check_limit()
         soak.check_drain()
         soak.is_finished = True
         for task in tasks:
             task.join()
         time.sleep(0.5)
         soak.check_runs()
+        soak.check_configuration()
         if soak.violations:
             _save_logs(fleet, seed)
         served = sum(1 for s in soak.request_by_id.values() if s.status == "200")
