A probe that sees a later epoch replaces the watch at once

Found by reading: a watch that stays open over the return from a copy would have been replaced 1 s after the probe, 2.2 s after the return at the latest, of 2 s allowed; and a probe, which may be answered from a stale copy of an earlier epoch, counted as a failure of the platform.

--- a/src/pollenroad/proxy/directory_reader.py
+++ b/src/pollenroad/proxy/directory_reader.py
@@ -152,6 +152,7 @@
             wait_s = CONFIRM_WAIT_S
         changes = self._source.changes(self._directory.revision, wait_s)
         self._check_epoch(changes.epoch)
+        self._refuse_earlier_epoch(changes.epoch)
         self._answered()
         self._post(changes)
         if changes.items:
@@ -164,18 +165,19 @@
 
         Raises:
             HistoryLost: If it has.
-            PlatformError: If the answer is older than what is known.
         """
         known = self._directory.position.epoch
         if epoch > known:
             raise HistoryLost(f"epoch {epoch} of the platform after {known}")
+
+    def _refuse_earlier_epoch(self, epoch: int) -> None:
+        known = self._directory.position.epoch
         if epoch < known:
             raise PlatformError(f"an answer of epoch {epoch} of the platform after {known}")
 
     def _read(self) -> None:
         contents = self._source.read()
-        if contents.epoch < self._directory.position.epoch:
-            raise PlatformError(f"an answer of epoch {contents.epoch} of the platform")
+        self._refuse_earlier_epoch(contents.epoch)
         self._answered()
         self._has_read = True
         self._post(contents)
@@ -207,7 +209,8 @@
             return
         self._answered_at = probed_at = time.monotonic()
         if position > self._directory.position:
-            gevent.sleep(DEAF_AFTER_S)
+            if position.epoch == self._directory.position.epoch:
+                gevent.sleep(DEAF_AFTER_S)  # The long poll may be about to answer.
             is_deaf = position > self._directory.position and self._answered_at == probed_at
             if is_deaf and self._wanted.is_set():
                 self._report_failure(PlatformError("a long poll misses changes"))
