An endpoint with room now is tried after a refusal for a limit

Found by reading: if the refusing guard reported no wait, as for an attempt that is late already, no endpoint at all was tried after it, not even one without a limit. The new test covers the choice after such a refusal: i-2 with a longer wait is left out, i-3 without a limit is tried, and the answer has the shorter pause (700 ms).

--- a/src/pollenroad/proxy/fleet.py
+++ b/src/pollenroad/proxy/fleet.py
@@ -242,7 +242,7 @@
             work: Expected work of the request.
             now: Monotonic time in seconds.
             limit_wait_bound_s: Wait for room within a stated limit from which endpoints are not
-                selected, in seconds.
+                selected, in seconds; those that have room now always are.
 
         Returns:
             The view of the selected endpoint and its cost in seconds, or None.
@@ -252,7 +252,8 @@
             view = self.view(endpoint)
             if endpoint.incarnation in tried or view.is_unavailable(now):
                 continue
-            if view.limit_wait_s(now) < limit_wait_bound_s:
+            wait_s = view.limit_wait_s(now)
+            if not wait_s or wait_s < limit_wait_bound_s:
                 costs.append((self.cost_s(view, work, is_lapsed, now), view))
         if not costs:
             return None
--- a/src/pollenroad/proxy/request_rate.py
+++ b/src/pollenroad/proxy/request_rate.py
@@ -14,7 +14,6 @@
 """Shortest wait for a token, in seconds: after rounding, the timer of a shorter one could be due
 immediately and forever."""
 
-
 MAX_WAIT_S = 60.0
 """Longest wait that is stated, in seconds."""
 
--- a/tests/proxy/test_server_limit.py
+++ b/tests/proxy/test_server_limit.py
@@ -4,15 +4,17 @@
 from unittest import mock
 
 from pollenroad.bench import server_limit
-from pollenroad.boundary import RunAtServer, ServerAnswered, Tick
-from pollenroad.messages import Response
+from pollenroad.boundary import PeerReceived, RunAtServer, ServerAnswered, Tick
+from pollenroad.messages import AttemptAnswer, Response
 from pollenroad.proxy.advertised import RateLimit
 from pollenroad.proxy.boundary import CheckServer, ServerAdvertised, ServerSeen
 from pollenroad.proxy.endpoint_states import LEAVING, STARTING
 from pollenroad.proxy.guard import make_guard
-from pollenroad.proxy.refusals import AT_LIMIT, LIMITED
+from pollenroad.proxy.refusals import AT_LIMIT, LIMITED, OVERLOADED
 from tests.proxy.samples import (
+    PEER,
     SERVICE,
+    answers,
     arrived,
     attempt_answers,
     directory_with,
@@ -120,6 +122,24 @@
         entry.fleet.get("i-1").learn(report("i-1", sequence=1), 9.5)
         self.assertFalse(entry.fleet.get("i-1").is_leaving)
 
+    def test_after_a_refusal_for_a_limit_only_endpoints_with_room_sooner_are_tried(self):
+        entry = entry_with(endpoint(1), endpoint(2), endpoint(3))
+        for number in (1, 2):
+            limited = report(f"i-{number}", limit_per_s=1.0, limit_wait_ms=400.0 * number)
+            entry.fleet.view(endpoint(number)).learn(limited, 0.0)
+        entry.fleet.view(endpoint(3)).learn(report("i-3", slowdown=9.0), 0.0)
+        (first,) = sent(entry.handle(arrived(1), 0.0))
+        self.assertEqual(first.incarnation, "i-1")
+        load = report("i-1", sequence=2, limit_per_s=1.0, limit_wait_ms=400.0)
+        refusal = AttemptAnswer(
+            first.attempt_id, "not-run", LIMITED, load=load, retry_after_ms=700.0
+        )
+        (second,) = sent(entry.handle(PeerReceived(PEER, refusal), 0.01))
+        self.assertEqual(second.incarnation, "i-3")
+        refusal = AttemptAnswer(second.attempt_id, "not-run", OVERLOADED, retry_after_ms=900.0)
+        (answer,) = answers(entry.handle(PeerReceived(PEER, refusal), 0.02))
+        self.assertEqual((answer.reason, answer.retry_after_ms), (LIMITED, 700.0))
+
 
 @mock.patch.multiple(server_limit, SECONDS=12.0, END_S=10.0)
 class FleetTest(unittest.TestCase):
