--- a/src/pollenroad/proxy/fleet.py
+++ b/src/pollenroad/proxy/fleet.py
@@ -50,6 +50,10 @@
 LAPSED_COST_S = 0.5
 """Added cost of an endpoint whose lease has lapsed, in seconds."""
 
+UNKNOWN_LIMIT_WAIT_S = 0.3
+"""Longest wait that is assumed at an endpoint whose limit is known from an old report, in seconds:
+in a large fleet an entry rarely has a recent one, and endpoints without a limit come first."""
+
 OUT_REPORT_TTL_S = 1.0
 """Age from which a report that an endpoint accepts no new work is ignored, in seconds. That its
 server leaves is remembered for longer."""
@@ -135,6 +139,8 @@
         waiting = max(0, in_flight + 1 - slots)
         service_s = work_s * (1 + UTILIZATION_COST * min(1.0, in_flight / slots) ** 2)
         busy_s = self.current_slowdown(now) * (service_s + work_s * waiting / slots)
+        if self.limit_per_s is not None and now - self.reported_at >= REPORT_TTL_S:
+            return busy_s + min(UNKNOWN_LIMIT_WAIT_S, 1 / max(self.limit_per_s, MIN_PER_S))
         return busy_s + self.limit_wait_s(now)
 
     def failure_share(self, now: float) -> float:
