A daemon that need not watch the store acts only when its watcher is missed

It now wakes when the announcements of its watcher have run out, which it notices at once in place of up to 0.2 s later; ranks are kept until the directory changes, or for 5 s; nothing is computed for doubts while there are none.

--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -75,8 +75,10 @@
         """Return when `expire` is next needed, in monotonic seconds."""
         if self._outage.is_lost:
             return None
-        dues = (self._registrations.next_due(), *self._held_out_until.values())
-        return min((due for due in dues if due is not None), default=None)
+        due = self._registrations.next_due()
+        if not self._held_out_until:
+            return due
+        return min((*self._held_out_until.values(), *(() if due is None else (due,))))
 
     # --- Updates from the platform ---
 
--- a/src/pollenroad/proxy/registrations.py
+++ b/src/pollenroad/proxy/registrations.py
@@ -96,7 +96,9 @@
 
     def next_due(self) -> float | None:
         """Return when `expire` is next needed, in monotonic seconds."""
-        return min((*self._lapsed_until.values(), *self._doubted_until.values()), default=None)
+        if not self._lapsed_until and not self._doubted_until:
+            return None
+        return min((*self._lapsed_until.values(), *self._doubted_until.values()))
 
     # --- Updates ---
 
@@ -148,6 +150,8 @@
 
     def expire(self, now: float) -> Iterator[Record]:
         """Drop lapsed endpoints that did not register again, and use doubted ones that remained."""
+        if not self._lapsed_until and not self._doubted_until:
+            return
         for incarnation in [n for n, until in self._lapsed_until.items() if until <= now]:
             reason = "not registered again after the lease expired"
             yield self._drop(incarnation, reason, now)
--- a/src/pollenroad/proxy/relay.py
+++ b/src/pollenroad/proxy/relay.py
@@ -49,6 +49,13 @@
 """Age up to which an announcement counts, in seconds: one may be lost and the next late. With a
 tick and the request of the next watcher, below the two seconds in which changes must be known."""
 
+TICK_INTERVAL_S = 0.2
+"""Interval at which a daemon that watches, searches or is behind acts, in seconds."""
+
+REFRESH_INTERVAL_S = 5.0
+"""Time after which the known daemons are updated even if the directory did not change, in seconds;
+below `PEER_TTL_S`."""
+
 LISTEN_S = 0.6
 """Time after the first read in which a daemon only listens for announcements, in seconds."""
 
@@ -95,6 +102,9 @@
         self._directory = directory
         self._last_announcement_by_peer: dict[str, _LastAnnouncement] = {}
         self._known_by_peer: dict[str, _KnownPeer] = {}
+        self._refreshed_at = float("-inf")
+        self._refreshed_position: Position | None = None
+        self._ranked_by_domain: dict[str, list[str]] = {}
         self._has_read = False
         self._listen_until = float("inf")
         self._behind_since: float | None = None
@@ -111,11 +121,22 @@
 
     def _ranked_peers(self, failure_domain: str) -> list[str]:
         """Return the peer addresses of a domain, highest rank first."""
-        known = self._known_by_peer.items()
-        return sorted((p for p, info in known if info.failure_domain == failure_domain), key=_rank)
+        ranked = self._ranked_by_domain.get(failure_domain)
+        if ranked is None:
+            known = self._known_by_peer.items()
+            ranked = sorted(
+                (p for p, info in known if info.failure_domain == failure_domain), key=_rank
+            )
+            self._ranked_by_domain[failure_domain] = ranked
+        return ranked
 
     def _refresh_peers(self, now: float) -> None:
         """Update the known daemons; a daemon stays known after its server's registration ended."""
+        is_recent = now - self._refreshed_at < REFRESH_INTERVAL_S
+        if is_recent and self._refreshed_position == self._directory.position:
+            return
+        self._refreshed_at, self._refreshed_position = now, self._directory.position
+        self._ranked_by_domain.clear()
         for endpoint in self._directory.all_endpoints():
             self._known_by_peer[endpoint.guard] = _KnownPeer(endpoint.failure_domain, now)
         oldest = now - PEER_TTL_S
@@ -123,16 +144,22 @@
             p: info for p, info in self._known_by_peer.items() if info.at >= oldest
         }
 
-    def _is_watcher_needed(self, now: float) -> bool:
+    def _watchers_above(self, now: float) -> list[_LastAnnouncement]:
+        """Return the recent announcements of daemons of this domain with a higher rank."""
         own = _rank(self._address)
-        higher = (peer for peer in self._ranked_peers(self._failure_domain) if _rank(peer) < own)
-        announcements = (self._last_announcement_by_peer.get(peer) for peer in higher)
-        watching = [
-            last.has_platform
-            for last in announcements
-            if last and now - last.at < ANNOUNCEMENT_TTL_S
+        return [
+            last
+            for peer, last in self._last_announcement_by_peer.items()
+            if now - last.at < ANNOUNCEMENT_TTL_S and _rank(peer) < own and self._is_near(peer)
         ]
-        return sum(watching) < WATCHERS and len(watching) < MAX_SEARCHERS
+
+    def _is_near(self, peer: str) -> bool:
+        known = self._known_by_peer.get(peer)
+        return known is not None and known.failure_domain == self._failure_domain
+
+    def _is_watcher_needed(self, now: float) -> bool:
+        above = self._watchers_above(now)
+        return sum(last.has_platform for last in above) < WATCHERS and len(above) < MAX_SEARCHERS
 
     # --- Events ---
 
@@ -203,6 +230,8 @@
                 self._last_announcement_by_peer[peer] = last
                 if self._is_behind(last) and self._behind_since is None:
                     self._behind_since = now
+                if self._behind_since is not None or not last.has_platform:
+                    self._tick_at = min(self._tick_at, now + TICK_INTERVAL_S)
                 is_equal = last.position == self._directory.position
                 if last.has_platform and is_equal and not self.is_watching:
                     yield from self._directory.confirm(now)
@@ -212,7 +241,7 @@
                 yield from self._tick(now)
 
     def _tick(self, now: float) -> Iterator[Action]:
-        self._tick_at = now + ANNOUNCE_INTERVAL_S / 2
+        self._tick_at = now + TICK_INTERVAL_S
         if now < self._listen_until and not self._directory.is_lost:
             return
         self._refresh_peers(now)
@@ -224,6 +253,13 @@
                 if peer != self._address:
                     yield SendPeer(peer, announcement)
         yield from self._catch_up(now)
+        if not self.is_watching and self._behind_since is None:
+            self._tick_at = max(self._tick_at, self._role_due(now))
+
+    def _role_due(self, now: float) -> float:
+        """Return when the last watcher of higher rank is missed, unless it announces itself."""
+        above = (last.at for last in self._watchers_above(now) if last.has_platform)
+        return max(above, default=float("-inf")) + ANNOUNCEMENT_TTL_S
 
     def _update_role(self, now: float) -> Iterator[Action]:
         is_needed = self._is_watcher_needed(now)
--- a/tests/proxy/test_proxy_relay.py
+++ b/tests/proxy/test_proxy_relay.py
@@ -12,7 +12,7 @@
 )
 from pollenroad.proxy.cores import DaemonLocation, ProxyCores
 from pollenroad.proxy.registrations import RENEWAL_GRACE_S
-from pollenroad.proxy.relay import MAX_SEARCHERS, WATCHERS
+from pollenroad.proxy.relay import ANNOUNCEMENT_TTL_S, MAX_SEARCHERS, WATCHERS
 from pollenroad.relay_messages import AskDirectory, Bulletin, DirectoryNews
 from tests.proxy.samples import RETRIES, SERVICE, configuration, endpoint, of_kind, read
 
@@ -92,6 +92,16 @@
         rest = {p: c for p, c in self.fleet.cores_by_peer.items() if p != lost}
         self.assertEqual({c.directory.configuration.version for c in rest.values()}, {7})
 
+    def test_a_daemon_that_need_not_watch_acts_only_when_its_watcher_is_missed(self):
+        peer = next(p for p in self.fleet.cores_by_peer if p not in self.fleet.watchers())
+        relay = self.fleet.cores_by_peer[peer].relay
+        acted = set()
+        for _ in range(100):
+            self.fleet.run(0.05)
+            acted.add(relay.next_due())
+        self.assertLess(len(acted), 5 * 2.0)
+        self.assertLessEqual(relay.next_due(), self.fleet.now + ANNOUNCEMENT_TTL_S)
+
     def test_a_watcher_that_the_platform_refuses_is_replaced(self):
         lost = self.fleet.watchers()[0]
         self.fleet.post(lost, DirectoryLost("access refused"))
