Health is checked about as often as attempts arrive

Each start asks for the speed anyway; the checks between them tell entries of a change, and an entry there rarely returns within the 1.2 s for which a report counts. The interval follows the mean gap between attempts, from 0.09 to 0.45 s; a slow server that entries avoid is checked every 0.09 s as before.

--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -55,8 +55,8 @@
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
 
-BEAT_S = 0.1
-"""Interval at which the guard tests whether a health check is due, in seconds."""
+BEAT_S = 0.09
+"""Least interval at which the guard tests whether a health check is due, in seconds."""
 
 LONGEST_DEADLINE_S = 15.0
 """Longest deadline of any attempt, in seconds; attempt ids are remembered for longer than that."""
@@ -81,7 +81,6 @@
         self._load_reporter = LoadReporter()
         self._timers = Timers()
         self._is_stopping = False
-        self._last_attempt_at = now
         self._last_state = ""
         self._timers.set(("beat", ""), now)
 
@@ -161,7 +160,7 @@
             return
         self._seen.add(attempt.attempt_id, LONGEST_DEADLINE_S, now)
         self._load_reporter.attempted(host_of(peer), now)
-        self._last_attempt_at = now
+        self._health.attempted(now)
         yield from self._status.on_hint(attempt)
         remaining_s = attempt.remaining_ms / 1000 - self._transit_times.transit_s(attempt, now)
         waiting = self.policy.make_waiting(peer, attempt, remaining_s, now)
@@ -298,8 +297,9 @@
                 case "deadline":
                     yield from self._on_deadline(key, now)
                 case "beat":
-                    self._timers.set(("beat", ""), now + BEAT_S)
                     yield from self._check(now)
+                    next_check_at = self._health.next_check_at(now)
+                    self._timers.set(("beat", ""), max(now + BEAT_S, next_check_at))
 
     def _on_start_due(self, waiting: WaitingAttempt, now: float) -> Iterator[Action]:
         """Start or refuse an attempt whose latest start time has come."""
@@ -317,7 +317,7 @@
         yield self._send(running.waiting.peer, answer, now)
 
     def _check(self, now: float) -> Iterator[Action]:
-        yield from self._status.check(self._last_attempt_at, bool(self._queue), now)
+        yield from self._status.check(bool(self._queue), now)
 
     # --- Load ---
 
--- a/src/pollenroad/proxy/health.py
+++ b/src/pollenroad/proxy/health.py
@@ -14,16 +14,24 @@
 a response takes up to 6 ms, and several times that while the VM is slow."""
 
 CHECK_INTERVAL_S = 0.09
-"""Age of the last status after which the server's health is checked, in seconds."""
+"""Least age of the last status after which the server's health is checked, in seconds."""
 
 CHECK_TIMEOUT_S = 1.0
 """Timeout of a health check, in seconds."""
 
 IDLE_CHECK_INTERVAL_S = 0.45
-"""Replaces `CHECK_INTERVAL_S` while no attempt has arrived for `IDLE_S`, in seconds."""
+"""Greatest age of the last status after which the server's health is checked, in seconds. Between
+the two, it is checked about as often as attempts arrive."""
 
-IDLE_S = 2.0
-"""Time without an attempt after which health is checked less often, in seconds."""
+RECOVERY_WATCH_S = 2.0
+"""Time since the last attempt for which a slow server is checked as often as a busy one: entries
+avoid it until they hear that it is fast again. In seconds."""
+
+SLOW_TO_WATCH = 1.6
+"""Slowdown from which that applies."""
+
+GAP_WEIGHT = 0.1
+"""Weight of the newest gap between two attempts in their moving average."""
 
 CHECK_GAP_S = 0.02
 """Shortest time between two health checks, in seconds, within the limit of 60 a second."""
@@ -60,6 +68,8 @@
         self._is_check_open = False
         self._starts_unchecked = 0
         self._failed_checks = 0
+        self._last_attempt_at = now
+        self._attempt_gap_s = CHECK_INTERVAL_S
 
     @property
     def is_down(self) -> bool:
@@ -107,12 +117,26 @@
         """Return until when attempts wait for the open check, in monotonic seconds."""
         return self._check_sent_at + CHECK_WAIT_S
 
-    def is_check_due(self, now: float, last_attempt_at: float, has_waiting: bool) -> bool:
+    def attempted(self, now: float) -> None:
+        """Record that an attempt has arrived."""
+        gap_s = min(IDLE_CHECK_INTERVAL_S, now - self._last_attempt_at)
+        self._attempt_gap_s += GAP_WEIGHT * (gap_s - self._attempt_gap_s)
+        self._last_attempt_at = now
+
+    def next_check_at(self, now: float) -> float:
+        """Return when the next check is due if no attempt arrives before, in monotonic seconds."""
+        since_attempt_s = now - self._last_attempt_at
+        gap_s = max(self._attempt_gap_s, since_attempt_s)
+        if self.slowdown >= SLOW_TO_WATCH and since_attempt_s < RECOVERY_WATCH_S:
+            gap_s = 0.0
+        interval_s = min(IDLE_CHECK_INTERVAL_S, max(CHECK_INTERVAL_S, gap_s))
+        return max(self._observed_at, self._check_sent_at) + interval_s
+
+    def is_check_due(self, now: float, has_waiting: bool) -> bool:
         """Return whether a health check is due.
 
         Args:
             now: Monotonic time in seconds.
-            last_attempt_at: When the last attempt arrived, in monotonic seconds.
             has_waiting: Whether attempts wait for a start.
         """
         if self._is_check_open or now - self._check_sent_at < CHECK_GAP_S:
@@ -121,8 +145,7 @@
             return True
         if has_waiting:
             return not self.is_fresh(now) or now - self._checked_at >= WARM_S
-        is_idle = now - last_attempt_at > IDLE_S
-        return self.age_s(now) >= (IDLE_CHECK_INTERVAL_S if is_idle else CHECK_INTERVAL_S)
+        return now >= self.next_check_at(now)
 
     def check_sent(self, now: float) -> None:
         """Record that a health check is sent."""
--- a/src/pollenroad/proxy/server_status.py
+++ b/src/pollenroad/proxy/server_status.py
@@ -80,16 +80,15 @@
         if self.health.restarted(endpoint.cold_s, now):
             yield Record("server_cold", (("cold_s", endpoint.cold_s), ("source", "registration")))
 
-    def check(self, last_attempt_at: float, has_waiting: bool, now: float) -> Iterator[Action]:
+    def check(self, has_waiting: bool, now: float) -> Iterator[Action]:
         """Send a health check if one is due.
 
         Args:
-            last_attempt_at: When the last attempt arrived, in monotonic seconds.
             has_waiting: Whether attempts wait for a start.
             now: Monotonic time in seconds.
         """
         rules = self._local.rules
-        if rules is None or not self.health.is_check_due(now, last_attempt_at, has_waiting):
+        if rules is None or not self.health.is_check_due(now, has_waiting):
             return
         self.health.check_sent(now)
         yield CheckServer(rules.health_path, CHECK_TIMEOUT_S)
--- a/tests/proxy/test_proxy_guard.py
+++ b/tests/proxy/test_proxy_guard.py
@@ -143,6 +143,30 @@
         actions = guard.handle(ServerAnswered("entry-4", Response(200)), 0.05)
         self.assertEqual(len(of_kind(actions, RunAtServer)), 1)
 
+    def _checks_per_s(self, attempts_per_s: float, slowdown: float = 1.0) -> float:
+        """Return the health checks a second, of which each attempt causes one at the most."""
+        guard, checks, number = guard_with(endpoint(1)), 0, 0
+        seen = ServerSeen(slowdown=slowdown, is_health=True)
+        for step in range(1, 2_001):
+            now = step * 0.005
+            actions = run_until(guard, now, now)
+            if number < int(now * attempts_per_s):
+                number += 1
+                actions += send_attempt(guard, now, number=number, assumed_slowdown=1.0)
+            if of_kind(actions, CheckServer):
+                checks += 1
+                guard.handle(seen, now)
+            guard.handle(ServerAnswered(f"entry-{number}", Response(200)), now)
+        return checks / now
+
+    def test_health_is_checked_about_as_often_as_attempts_arrive(self):
+        self.assertLess(self._checks_per_s(2.5), 2 * 2.5 + 1)
+        self.assertLess(self._checks_per_s(0.5), 4.0)
+        self.assertGreater(self._checks_per_s(20.0), 9.0)
+
+    def test_a_slow_server_that_entries_avoid_is_checked_often(self):
+        self.assertGreater(self._checks_per_s(1.0, slowdown=7.0), 9.0)
+
     def test_a_start_waits_for_a_recent_health_response(self):
         guard = guard_with(endpoint(1))
         actions = send_attempt(guard, 0.5, number=1)
