Callers, the soak's checks and the benches' simulated fleet each stand once

callers.py and caller_connection.py imported each other: Callers now only holds what connections share, and caller_connection.py owns the server.

--- a/src/pollenroad/bench/noise.py
+++ b/src/pollenroad/bench/noise.py
@@ -12,11 +12,15 @@
 from functools import partial
 
 from pollenroad.bench.load import percentile
-from pollenroad.bench.simulated_fleet import DELAY_S, Clock, SimulatedFleet, SimulatedServer
+from pollenroad.bench.simulated_fleet import (
+    DELAY_S,
+    Clock,
+    SimulatedFleet,
+    SimulatedServer,
+    make_configuration,
+    make_request,
+)
 from pollenroad.boundary import AnswerCall
-from pollenroad.messages import Request
-from pollenroad.proxy.boundary import RequestArrived
-from pollenroad.published import Configuration, Route, ServiceRules, Share
 
 SERVERS = 5
 SLOTS = 12
@@ -177,7 +181,8 @@
             SimulatedServer("booking", SLOTS, slowdown=partial(world.slowdown, number))
             for number in range(SERVERS)
         ]
-        self._fleet = SimulatedFleet(world.clock, servers, _configuration(), self._record, seed)
+        configuration = make_configuration(TIMEOUT_S, OBJECTIVE_S, max_attempts=2)
+        self._fleet = SimulatedFleet(world.clock, servers, configuration, self._record, seed)
 
     def simulate(self) -> list[float]:
         """Simulate all requests; return the latency of each, in seconds."""
@@ -188,8 +193,7 @@
 
     def _arrive(self, number: str, arrival: Arrival) -> None:
         self._sent_at[number] = arrival.at
-        path = f"/{'read' if arrival.is_idempotent else 'write'}/{arrival.work_s}"
-        request = RequestArrived(number, number, "h", Request("GET", path), 3.0)
+        request = make_request(number, arrival.work_s, arrival.is_idempotent, 3.0)
         self._fleet.arrive(arrival.entry, request)
 
     def _record(self, answer: AnswerCall) -> None:
@@ -197,15 +201,6 @@
         self.latencies.append(latency_s if answer.response is not None else TIMEOUT_S)
 
 
-def _configuration() -> Configuration:
-    routes = tuple(
-        Route(name, "h", f"/{name}/", (Share("booking", 1.0),), name == "read", TIMEOUT_S,
-              OBJECTIVE_S, 2, 1)
-        for name in ("read", "write")
-    )  # fmt: skip
-    return Configuration(1, routes, {"booking": ServiceRules("booking", "/health", 200, 3.0, 14.0)})
-
-
 def run(seed: int = 1) -> dict:
     """Simulate the same load and slow periods for every policy.
 
--- a/src/pollenroad/bench/server_limit.py
+++ b/src/pollenroad/bench/server_limit.py
@@ -10,12 +10,15 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from pollenroad.bench.simulated_fleet import Clock, SimulatedFleet, SimulatedServer
+from pollenroad.bench.simulated_fleet import (
+    Clock,
+    SimulatedFleet,
+    SimulatedServer,
+    make_configuration,
+    make_request,
+)
 from pollenroad.boundary import AnswerCall
-from pollenroad.messages import Request
 from pollenroad.proxy.advertised import UNLIMITED, RateLimit, UnreadableLimit
-from pollenroad.proxy.boundary import RequestArrived
-from pollenroad.published import Configuration, Route, ServiceRules, Share
 from pollenroad.verdicts import Verdict
 
 SERVERS = 5
@@ -73,9 +76,8 @@
         call.sent = clock.now
         call_id = f"c{len(self.call_by_id)}"
         self.call_by_id[call_id] = call
-        path = f"/{'read' if call.is_idempotent else 'write'}/{call.work_s}"
         left_s = call.arrived + DEADLINE_S - clock.now
-        request = RequestArrived(call_id, call_id, "h", Request("GET", path), left_s)
+        request = make_request(call_id, call.work_s, call.is_idempotent, left_s)
         self.fleet.arrive(call.entry, request)
 
     def answered(self, answer: AnswerCall) -> None:
@@ -190,7 +192,8 @@
     """
     rng, clock = random.Random(f"{name}/{seed}"), Clock()
     servers = [SimulatedServer("booking", SLOTS) for _ in range(SERVERS)]
-    fleet = SimulatedFleet(clock, servers, _configuration(), lambda a: play.answered(a), seed)
+    configuration = make_configuration(DEADLINE_S, OBJECTIVE_S, max_attempts=3)
+    fleet = SimulatedFleet(clock, servers, configuration, lambda a: play.answered(a), seed)
     play = Play(fleet)
     scenario = SCENARIO_BY_NAME[name]
     scenario.script(play, rng)
@@ -205,15 +208,6 @@
     return play
 
 
-def _configuration() -> Configuration:
-    routes = tuple(
-        Route(name, "h", f"/{name}/", (Share("booking", 1.0),), name == "read", DEADLINE_S,
-              OBJECTIVE_S, 3, 1)
-        for name in ("read", "write")
-    )  # fmt: skip
-    return Configuration(1, routes, {"booking": ServiceRules("booking", "/health", 200, 3.0, 14.0)})
-
-
 def most_in_window(server: SimulatedServer) -> int:
     """Return the most requests that reached a server in any `WINDOW_S`."""
     times = [at for at, _ in server.starts if START_S <= at < END_S]
--- a/src/pollenroad/bench/simulated_fleet.py
+++ b/src/pollenroad/bench/simulated_fleet.py
@@ -20,7 +20,7 @@
     ServerFailed,
     Tick,
 )
-from pollenroad.messages import Response
+from pollenroad.messages import Request, Response
 from pollenroad.proxy.advertised import UNLIMITED, StatedLimit
 from pollenroad.proxy.boundary import (
     CheckServer,
@@ -34,7 +34,7 @@
 )
 from pollenroad.proxy.budgets import BudgetRules
 from pollenroad.proxy.cores import DaemonLocation, ProxyCores
-from pollenroad.published import Configuration, RegisteredEndpoint
+from pollenroad.published import Configuration, RegisteredEndpoint, Route, ServiceRules, Share
 
 DELAY_S = 0.0015
 """One-way network delay between two VMs, in seconds."""
@@ -62,6 +62,24 @@
             callback()
 
 
+def make_configuration(timeout_s: float, objective_s: float, max_attempts: int) -> Configuration:
+    """Return a configuration of the service `booking`, with idempotent and other requests."""
+    routes = tuple(
+        Route(name, "h", f"/{name}/", (Share("booking", 1.0),), name == "read", timeout_s,
+              objective_s, max_attempts, 1)
+        for name in ("read", "write")
+    )  # fmt: skip
+    return Configuration(1, routes, {"booking": ServiceRules("booking", "/health", 200, 3.0, 14.0)})
+
+
+def make_request(
+    call_id: str, work_s: float, is_idempotent: bool, deadline_s: float
+) -> RequestArrived:
+    """Return the arrival of a request that takes `work_s` at a server of usual speed."""
+    path = f"/{'read' if is_idempotent else 'write'}/{work_s}"
+    return RequestArrived(call_id, call_id, "h", Request("GET", path), deadline_s)
+
+
 def peer_address(number: int) -> str:
     """Return the address at which daemons reach the daemon with this number."""
     return f"127.0.{number // 200}.{number % 200 + 1}:7000"
--- a/src/pollenroad/proxy/caller_connection.py
+++ b/src/pollenroad/proxy/caller_connection.py
@@ -8,19 +8,21 @@
 import socket
 from collections import deque
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
 import gevent
 import h11
 from gevent.event import Event as Flag
+from gevent.server import StreamServer
 from gevent.socket import wait_read
 
+from pollenroad.addresses import split_address
 from pollenroad.boundary import AnswerCall, CallAbandoned
 from pollenroad.headers import end_to_end
 from pollenroad.logs import log
 from pollenroad.messages import Request
 from pollenroad.proxy.boundary import RequestArrived
 from pollenroad.proxy.byte_budget import Reservation
+from pollenroad.proxy.callers import Callers
 from pollenroad.proxy.exchanges import (
     Exchange,
     PartialRequest,
@@ -34,8 +36,8 @@
 from pollenroad.shell.tasks import TurnCounter
 from pollenroad.verdicts import Verdict
 
-if TYPE_CHECKING:
-    from pollenroad.proxy.callers import Callers
+BACKLOG = 1024
+"""Length of the accept queue."""
 
 MAX_PIPELINED = 64
 """Number of unanswered requests of one connection at which reading from it pauses."""
@@ -61,7 +63,7 @@
 class CallerConnection:
     """One connection of a caller."""
 
-    def __init__(self, callers: "Callers", sock):
+    def __init__(self, callers: Callers, sock):
         self._callers = callers
         self._sock = sock
         self._exchanges: deque[Exchange] = deque()
@@ -310,3 +312,12 @@
             self._sock._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             return  # The caller has already closed the connection.
+
+
+def make_caller_server(address: str, callers: Callers) -> StreamServer:
+    """Return an HTTP/1.1 server for callers at `address`, not yet started."""
+
+    def serve(sock, _remote) -> None:
+        CallerConnection(callers, sock).run()
+
+    return StreamServer(split_address(address), serve, backlog=BACKLOG)
--- a/src/pollenroad/proxy/callers.py
+++ b/src/pollenroad/proxy/callers.py
@@ -1,27 +1,28 @@
-"""HTTP/1.1 server for callers: open connections and requests, and what they hold together."""
+"""Open requests of all callers, and what their connections share and hold together."""
 
 from collections.abc import Callable
+from typing import Protocol
 
-from gevent.server import StreamServer
-
-from pollenroad.addresses import split_address
 from pollenroad.boundary import AnswerCall
 from pollenroad.proxy.boundary import Event
 from pollenroad.proxy.byte_budget import ByteBudget, Reservation
-from pollenroad.proxy.caller_connection import CallerConnection
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.published import CallerLimits
 
-BACKLOG = 1024
-"""Length of the accept queue."""
-
 MAX_HELD_BODY_BYTES = 25_165_824
 """Bytes of request bodies that a daemon holds as an entry, over all connections: 24 MiB. They exist
 several times while they are framed and sent, on VMs of 200 MB."""
 
 
+class AnswerWriter(Protocol):
+    """The connection of a caller, as far as an answer to one of its requests needs it."""
+
+    def set_answer(self, answer: AnswerCall) -> None:
+        """Write an answer once all earlier ones are written."""
+
+
 class Callers:
-    """Open connections and requests of callers.
+    """Open requests of callers, by the connection that waits for each answer.
 
     Args:
         dialect: Names of the header fields.
@@ -41,24 +42,20 @@
         self.held_bodies = ByteBudget(MAX_HELD_BODY_BYTES)
         self._count = 0
         self._reservation_by_call: dict[str, Reservation] = {}
-        self._connection_by_call: dict[str, CallerConnection] = {}
+        self._connection_by_call: dict[str, AnswerWriter] = {}
 
     @property
     def open_requests(self) -> int:
         """Number of requests whose answer has not been written to the socket."""
         return len(self._connection_by_call)
 
-    def serve(self, sock, _remote) -> None:
-        """Serve one connection until it ends."""
-        CallerConnection(self, sock).run()
-
     def answer(self, answer: AnswerCall) -> None:
         """Pass an answer to the connection that waits for it."""
         connection = self._connection_by_call.get(answer.call_id)
         if connection is not None:
             connection.set_answer(answer)
 
-    def register(self, connection: CallerConnection, reservation: Reservation) -> str:
+    def register(self, connection: AnswerWriter, reservation: Reservation) -> str:
         """Register a new request of a connection, and the bytes that it holds; return its id."""
         self._count += 1
         call_id = str(self._count)
@@ -71,8 +68,3 @@
         self._connection_by_call.pop(call_id, None)
         if reservation := self._reservation_by_call.pop(call_id, None):
             reservation.release()
-
-
-def make_caller_server(address: str, callers: Callers) -> StreamServer:
-    """Return a server for callers at `address`, not yet started."""
-    return StreamServer(split_address(address), callers.serve, backlog=BACKLOG)
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -30,7 +30,8 @@
     WatchDirectory,
 )
 from pollenroad.proxy.budgets import BudgetRules
-from pollenroad.proxy.callers import Callers, make_caller_server
+from pollenroad.proxy.caller_connection import make_caller_server
+from pollenroad.proxy.callers import Callers
 from pollenroad.proxy.cold_rate import ColdBound
 from pollenroad.proxy.cores import DaemonLocation, ProxyCores
 from pollenroad.proxy.dialect import Dialect
--- a/tests/users/soak.py
+++ b/tests/users/soak.py
@@ -16,8 +16,9 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tests.users.fleet import CALL, UsersFleet, await_condition, configuration
+from tests.users.fleet import CALL, UsersFleet, configuration
 from tests.users.raw_http import connect, read_message, request_bytes
+from tests.users.soak_checks import QUIET_S, Checks, ClientRequest
 
 REGRESSIONS: dict[int, str] = {
     20: "SIGTERM before the handler was set ended the daemon with a signal's code; not a fault",
@@ -30,18 +31,6 @@
 
 VMS = 6
 CLIENTS = 8
-DRAIN_S = 2.0
-"""Time after which a draining server gets no new requests, by the users' specification, in
-seconds."""
-
-QUIET_S = 3.0
-"""Time without faults after which time limits apply to daemons, in seconds."""
-
-RECOVERY_S = 15.0
-"""Time after the last fault within which every daemon must serve again, in seconds."""
-
-NOT_RUN_STATUSES = ("408", "421", "429", "503")
-"""Statuses that guarantee that the request has not run."""
 
 SERVER_FAULTS = (
     "cut", "extra", "unsigned", "encoded", "refuse", "shed", "error", "reset", "endless",
@@ -51,30 +40,10 @@
     {}, {}, {"Server-Limit": "0"}, {"Server-Limit": "6.5"}, {"Server-Limit": "many"},
     {"Server-Leaving": "1"},
 )  # fmt: skip
-LIMIT_PER_S = 3
-LIMIT_WINDOW_S = 4.0
-LIMIT_ALLOWED = 1.5 * LIMIT_WINDOW_S * LIMIT_PER_S + 5
-"""Requests that a server with this limit may get in any such window."""
 
 LINK_FAULTS = ("delay", "silent", "one-way", "refuse", "")
 
 
-@dataclass
-class ClientRequest:
-    """A request of a client and its result."""
-
-    host: str
-    is_idempotent: bool
-    at: float
-    """Time of sending on the monotonic clock, in seconds."""
-    path: str
-    size: int
-    """Length of the body, in bytes."""
-    status: str = ""
-    ended: float = 0.0
-    """Time of the answer on the monotonic clock, in seconds."""
-
-
 @dataclass
 class Soak:
     """One run: a fleet, its clients, and the results of their requests."""
@@ -239,93 +208,6 @@
             server.register()
             self.fleet.signal(host, signal.SIGCONT)
 
-    # --- Guarantees ---
-
-    def check_recovery(self) -> None:
-        """Check that every daemon serves again within `RECOVERY_S` after the last fault."""
-        try:
-            for host in self.fleet.hosts:
-                await_condition(lambda host=host: self._serves(host), RECOVERY_S)
-        except AssertionError:
-            self.violations.append(
-                f"recover: {host} does not serve {RECOVERY_S:g} s after the faults"
-            )
-
-    def _serves(self, host: str) -> bool:
-        try:
-            for service in self.fleet.services:
-                attempt = f"{self.seed}-end-{time.monotonic_ns()}"
-                path = f"/{service}/read/1"
-                self.request_by_id[attempt] = ClientRequest(host, True, time.monotonic(), path, 0)
-                if self.fleet.request(host, path, attempt)[0] != 200:
-                    return False
-        except OSError:
-            return False
-        return True
-
-    def check_drain(self) -> None:
-        """Check, without other faults, that a draining server gets no new requests in time."""
-        host = self.fleet.hosts[0]
-        server = self.fleet.server_by_host[host]
-        time.sleep(QUIET_S)
-        if self.seed % 2:
-            server.register("draining")
-        else:
-            server.statements = {"Server-Leaving": "1"}
-        bound = time.monotonic() + DRAIN_S
-        time.sleep(DRAIN_S + 1.0)
-        late_arrivals = [at for at in server.arrived_at if at > bound]
-        if late_arrivals:
-            self.violations.append(
-                f"drain: {len(late_arrivals)} requests reached {host} after {DRAIN_S:g} s"
-            )
-
-    def check_limit(self) -> None:
-        """Check, without other faults, that a server gets no more than the limit that it states."""
-        host = self.fleet.hosts[1]
-        server = self.fleet.server_by_host[host]
-        server.statements = {"Server-Limit": str(LIMIT_PER_S)}
-        time.sleep(1.0)
-        since = time.monotonic()
-        time.sleep(LIMIT_WINDOW_S)
-        count = sum(since <= at < since + LIMIT_WINDOW_S for at in server.arrived_at)
-        if count > LIMIT_ALLOWED:
-            self.violations.append(f"limit: {count} requests reached {host}")
-
-    def check_configuration(self) -> None:
-        """Check that every daemon has the newest configuration, and none went back to an older."""
-        for host in self.fleet.hosts:
-            versions: list[int] = []
-            for line in self.fleet.log_by_host[host].read_text().splitlines():
-                if '"event":"daemon_started"' in line:
-                    versions.clear()
-                if '"event":"configuration_in_force"' in line:
-                    versions.append(json.loads(line)["version"])
-            if versions != sorted(versions) or versions[-1:] != [self.fleet.version]:
-                self.violations.append(f"configuration: {host} {versions} of {self.fleet.version}")
-
-    def check_runs(self) -> None:
-        """Check that no incomplete, unknown or refused request ran, and none ran twice.
-
-        An idempotent request may have run twice, or before it was refused.
-        """
-        for server in self.fleet.server_by_host.values():
-            self.violations += [
-                f"unasked: {a} without deadline or caller" for a in server.incomplete_requests
-            ]
-        runs: dict[str, int] = {}
-        for server in self.fleet.server_by_host.values():
-            for attempt, count in server.runs.items():
-                runs[attempt] = runs.get(attempt, 0) + count
-        for attempt, count in runs.items():
-            sent = self.request_by_id.get(attempt)
-            if sent is None:
-                self.violations.append(f"unasked: nobody sent {attempt}")
-            elif not sent.is_idempotent and count > 1:
-                self.violations.append(f"twice: {attempt} ran {count} times")
-            elif not sent.is_idempotent and sent.status in NOT_RUN_STATUSES:
-                self.violations.append(f"refused: {attempt} was answered {sent.status} and ran")
-
 
 def run(seed: int, seconds: float = 8.0, subnet: int = 200) -> list[str]:
     """Run one seed; return the violations."""
@@ -338,15 +220,16 @@
         for task in tasks:
             task.start()
         soak.inject_faults(seconds)
-        soak.check_recovery()
-        soak.check_limit()
-        soak.check_drain()
+        checks = Checks(seed, fleet, soak.request_by_id, soak.violations)
+        checks.check_recovery()
+        checks.check_limit()
+        checks.check_drain()
         soak.is_finished = True
         for task in tasks:
             task.join()
         time.sleep(0.5)
-        soak.check_runs()
-        soak.check_configuration()
+        checks.check_runs()
+        checks.check_configuration()
         if soak.violations:
             _save_logs(fleet, seed)
         served = sum(1 for s in soak.request_by_id.values() if s.status == "200")
