--- a/src/pollenroad/proxy/health.py
+++ b/src/pollenroad/proxy/health.py
@@ -127,7 +127,8 @@
         """Return when the next check is due if no attempt arrives before, in monotonic seconds."""
         since_attempt_s = now - self._last_attempt_at
         gap_s = max(self._attempt_gap_s, since_attempt_s)
-        if self.slowdown >= SLOW_TO_WATCH and since_attempt_s < RECOVERY_WATCH_S:
+        is_slow = self.slowdown >= SLOW_TO_WATCH and since_attempt_s < RECOVERY_WATCH_S
+        if is_slow or 0 < self._failed_checks < MAX_FAILED_CHECKS:
             gap_s = 0.0
         interval_s = min(IDLE_CHECK_INTERVAL_S, max(CHECK_INTERVAL_S, gap_s))
         return max(self._observed_at, self._check_sent_at) + interval_s
--- a/tests/proxy/test_proxy_guard.py
+++ b/tests/proxy/test_proxy_guard.py
@@ -164,6 +164,16 @@
         self.assertLess(self._checks_per_s(0.5), 4.0)
         self.assertGreater(self._checks_per_s(20.0), 9.0)
 
+    def test_a_server_that_fails_a_check_soon_counts_as_down_even_if_it_is_idle(self):
+        guard, now = guard_with(endpoint(1)), 10.0
+        run_until(guard, 0.0, now)
+        while not guard._health.is_down and now < 12.0:
+            now += 0.01
+            guard.handle(ServerSilent("no connection"), now)
+            while not of_kind(run_until(guard, now, now), CheckServer):
+                now += 0.01
+        self.assertLess(now, 10.0 + 0.45 + 3 * 0.15)
+
     def test_a_slow_server_that_entries_avoid_is_checked_often(self):
         self.assertGreater(self._checks_per_s(1.0, slowdown=7.0), 9.0)
 
