--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,6 +18,8 @@
 def run(record) -> bool:
     fleet = Deployment(3, subnet=55)  # Three zones of one machine, each of which watches the store.
     try:
+        for server in fleet.server_by_host.values():
+            server.service_s = 0.1
         fleet.start_all()
         leaving = fleet.server_by_host[fleet.hosts[2]]
         ended = threading.Event()
@@ -26,11 +28,18 @@
             count = 0
             while not ended.is_set():
                 count += 1
-                host = fleet.hosts[number % 3]
-                address, request_id = fleet.address(host, CALL), f"c{number}-{count}"
-                answer = ask(address, "GET", "/alpha/read/x", request_id, 3000)
+                address, request_id = (
+                    fleet.address(fleet.hosts[number % 3], CALL),
+                    f"c{number}-{count}",
+                )
+                if number < 3:
+                    answer = ask(address, "GET", "/alpha/read/x", request_id, 3000)
+                else:
+                    answer = ask(address, "POST", "/alpha/write/x", request_id, 3000, b"x")
                 if answer.status != 200:
-                    record.write(f"c{number}-{count} answered {answer.status}")
+                    record.write(f"{'GET' if number < 3 else 'POST'} {request_id} answered "
+                                 f"{answer.status}, ran {leaving.runs[request_id]} times at the "
+                                 "endpoint that left")  # fmt: skip
                 time.sleep(0.03)
 
         threads = [threading.Thread(target=client, args=(number,)) for number in range(6)]
@@ -52,6 +61,10 @@
         record.write(f"the store acknowledged the removal of {leaving.id}, which never reported "
                      "draining")  # fmt: skip
         time.sleep(LEAVING_S)
+        leaving.fault = "reset"  # It ends: what still runs there gets no answer.
+        leaving.close()
+        record.write("the endpoint ends")
+        time.sleep(2)
         ended.set()
         for thread in threads:
             thread.join()
