--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,7 @@
 import time
 
 from review.harness import TROUBLE, Deployment, ask, main
-from tests.users.fleet import CALL
+from tests.users.fleet import CALL, configuration
 
 DRAIN_S = 2.0
 """Bound `drain` of the site."""
@@ -20,6 +20,10 @@
     try:
         for server in fleet.server_by_host.values():
             server.service_s = 0.1
+        config = configuration(2)
+        for row in config["services"]["rows"]:
+            row[5:] = ["3s", 14.0]  # `warmup` and `cold_per_s` of the site.
+        fleet.store.put("op/config", config)
         fleet.start_all()
         leaving = fleet.server_by_host[fleet.hosts[2]]
         ended = threading.Event()
