A copy of a refusal no longer answers the same request sent again

Cause: a server that writes a refusal once more, late, gives it the id of its request. The guard used that id to skip copies, but the entry may send the same request to the same server again (after the other endpoints could not be reached), on the same connection; the copy then had the right id.

Fix: a connection carries each request id once, so that the id identifies the answer; and a request that must not run twice is not sent again to a server that refused it, as a copy may be written on another connection. Both are needed: the first alone leaves copies on other connections, the second alone leaves idempotent requests with the wrong answer.

Ruled out: closing the connection behind each refusal, which would open new connections just when a server is full. Taking a refusal without an id on a used connection for unproven was tried and dropped: no request follows an answer without an id, so that it cannot be a copy, and the stand-in's own refusals would turn from 503 to 502 (two tests of tests/users).

--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -64,6 +64,9 @@
     """Whether an attempt ended with an unknown verdict."""
     tried: set[str] = field(default_factory=set)
     """Incarnations of endpoints that are not selected again."""
+    refused_by_server: set[str] = field(default_factory=set)
+    """Incarnations of the servers that refused this request, if it must not run twice. A second
+    refusal of one of them could be a copy of the first while the request runs."""
     open_attempt_ids: set[str] = field(default_factory=set)
     error_response: Response | None = None
     """Error response of a server, kept while another server is tried."""
@@ -99,6 +102,15 @@
         else:
             self.refusals += 1
 
+    def server_refused(self, endpoint: str) -> None:
+        """Record that the server of an endpoint, not its guard, refused this request."""
+        if not self.route.idempotent:
+            self.refused_by_server.add(endpoint)
+
+    def forget_tried(self) -> None:
+        """Allow another attempt at the endpoints that were tried, as far as that is safe."""
+        self.tried = set(self.refused_by_server)
+
     def can_send(self, work_s: float, now: float) -> bool:
         """Return whether another attempt is allowed and has time for work of `work_s` seconds."""
         is_allowed = self.refusals < MAX_REFUSALS and self.attempts < self.route.max_attempts
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -156,7 +156,7 @@
         if call.open_attempt_ids:
             return
         if next_selection_at := call.next_selection_at(now):
-            call.tried.clear()
+            call.forget_tried()
             self._timers.set(("hold", call.arrived.call_id), next_selection_at)
             return
         reason = LIMITED if call.is_limited else "no-endpoint"
@@ -213,6 +213,7 @@
     ) -> Iterator[Action]:
         call.refused(reason, endpoint)
         if reached_server:
+            call.server_refused(endpoint)
             yield from self._retry_or_finish(call, Verdict.NOT_RUN, reason, now)
             return
         call.attempts -= 1
--- a/src/pollenroad/proxy/upstream.py
+++ b/src/pollenroad/proxy/upstream.py
@@ -5,8 +5,6 @@
 connection of an incomplete exchange is closed.
 """
 
-import time
-from collections import deque
 from collections.abc import Callable
 
 import gevent
@@ -18,20 +16,20 @@
 from pollenroad.messages import Attempt, Response
 from pollenroad.proxy.advertised import UNLIMITED, parse_limit
 from pollenroad.proxy.boundary import Event, ServerAdvertised, ServerSeen, ServerSilent
+from pollenroad.proxy.connection_pool import (
+    CONNECT_TIMEOUT_S,
+    IDLE_REUSE_S,
+    ConnectionPool,
+    PooledConnection,
+)
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.proxy.http1 import ClientConnection
 from pollenroad.proxy.reply_parser import Reply
 
-CONNECT_TIMEOUT_S = 0.5
-"""Time to open a connection to a server on the same VM, in seconds."""
-
-IDLE_REUSE_S = 4.0
-"""Idle time after which a connection is not reused, in seconds: below the usual idle timeout of
-servers, so that the server does not close it while a request is in transit."""
-
 IDLE_REUSE_NON_IDEMPOTENT_S = 0.3
-"""The same for a request that is not idempotent, in seconds. If the server drops an idle connection
-while such a request is in transit, it stays unknown whether the request ran."""
+"""Idle time after which a connection is not reused for a request that is not idempotent, in
+seconds. If the server drops an idle connection while such a request is in transit, it stays unknown
+whether the request ran."""
 
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which a caller concludes that the request has not run. Without proof of it they are
@@ -57,7 +55,7 @@
         self.server = server
         self._dialect = dialect
         self._post = post
-        self._idle: deque[tuple[float, ClientConnection]] = deque()
+        self._pool = ConnectionPool(server)
         self._health_connection: ClientConnection | None = None
         self._task_by_attempt: dict[str, gevent.Greenlet] = {}
         self._advertised = False
@@ -84,8 +82,8 @@
         """Switch to a server at another address."""
         self.server = server
         self._close_health_connection()
-        while self._idle:
-            self._idle.pop()[1].close()
+        self._pool.clear()
+        self._pool = ConnectionPool(server)
 
     # --- Exchanges ---
 
@@ -98,11 +96,10 @@
     def _run(self, attempt: Attempt, timeout_s: float) -> None:
         event = ServerFailed(attempt.attempt_id, reached=True, reason="cancelled")
         try:
-            connection = self._acquire_connection(
-                IDLE_REUSE_S if attempt.idempotent else IDLE_REUSE_NON_IDEMPOTENT_S
-            )
+            longest_idle_s = IDLE_REUSE_S if attempt.idempotent else IDLE_REUSE_NON_IDEMPOTENT_S
+            pooled = self._pool.acquire(attempt.request_id, longest_idle_s)
             with gevent.Timeout(timeout_s):
-                event = self._outcome(connection, attempt, timeout_s)
+                event = self._outcome(pooled, attempt, timeout_s)
         except gevent.Timeout:
             event = ServerFailed(attempt.attempt_id, reached=True, reason="deadline")
         except ExchangeError as error:
@@ -114,58 +111,32 @@
             self._task_by_attempt.pop(attempt.attempt_id, None)
             self._post(event)
 
-    def _outcome(self, connection: ClientConnection, attempt: Attempt, timeout_s: float) -> Event:
-        request = attempt.request
-        reply = self._exchange(
-            connection,
-            request.method,
-            request.path,
-            self._request_headers(attempt, timeout_s),
-            request.body,
-            lambda reply: self._is_stale(reply, attempt),
-        )
+    def _outcome(self, pooled: PooledConnection, attempt: Attempt, timeout_s: float) -> Event:
+        reply = self._exchange(pooled, attempt, timeout_s)
         self._post_advertised(reply, attempt.incarnation, is_health=False)
         self._post_load(reply)
         return self._classify(attempt, reply)
 
-    def _exchange(self, connection: ClientConnection, *request) -> Reply:
-        """Make one exchange; the connection is closed unless it can be reused."""
-        reply = None
+    def _exchange(self, pooled: PooledConnection, attempt: Attempt, timeout_s: float) -> Reply:
+        """Make one exchange; the connection is closed unless another request may follow on it.
+
+        None follows an answer without an id, since a late second copy of that answer could not be
+        told from the answer to the next request.
+        """
+        request, pool, reply = attempt.request, self._pool, None
         try:
-            reply = connection.exchange(*request)
+            reply = pooled.connection.exchange(
+                request.method,
+                request.path,
+                self._request_headers(attempt, timeout_s),
+                request.body,
+                lambda reply: self._is_stale(reply, attempt),
+            )
         finally:
-            if reply is not None and self._is_reusable_after(reply):
-                self._idle.append((time.monotonic(), connection))
-            else:
-                connection.close()
+            has_id = reply is not None and bool(reply.header(self._dialect.request_id))
+            pool.release(pooled, has_id and reply.can_reuse)
         return reply
 
-    def _is_reusable_after(self, reply: Reply) -> bool:
-        """Return whether another request may follow an answer on its connection.
-
-        A late second copy of an answer is recognised by the id of its request. Without an id it
-        would be taken for the answer to the next request, and a refusal for proof that it did not
-        run.
-        """
-        return reply.can_reuse and bool(reply.header(self._dialect.request_id))
-
-    def _acquire_connection(self, longest_idle_s: float) -> ClientConnection:
-        while self._idle:
-            since, connection = self._idle.pop()
-            if time.monotonic() - since > longest_idle_s:
-                self._idle.append((since, connection))
-                self._close_expired()
-                break
-            if connection.is_reusable():
-                return connection
-            connection.close()
-        return ClientConnection(self.server, CONNECT_TIMEOUT_S)
-
-    def _close_expired(self) -> None:
-        oldest = time.monotonic() - IDLE_REUSE_S
-        while self._idle and self._idle[0][0] < oldest:
-            self._idle.popleft()[1].close()
-
     def _request_headers(self, attempt: Attempt, left_s: float) -> list[tuple[str, str]]:
         dialect = self._dialect
         reserved = dialect.reserved_fields
--- a/tests/proxy/test_proxy_entry.py
+++ b/tests/proxy/test_proxy_entry.py
@@ -188,6 +188,16 @@
         self.assertEqual(sent(actions), [])
         self.assertEqual(answers(actions)[0].verdict, Verdict.NOT_RUN)
 
+    # A second refusal by a server could be a copy of its first one, while the request runs.
+    def test_a_request_that_must_not_repeat_is_sent_once_to_a_server_that_refused_it(self):
+        for name, is_sent_again in (("bind", False), ("lookup", True)):
+            entry, actions = self._second(name, "not-run", reached_server=True)
+            (second,) = sent(actions)
+            actions = entry.handle(AttemptUnsent(second.attempt_id), 0.05)
+            actions += run_until(entry, 0.05, 0.3)
+            first = {"i-1": "i-2", "i-2": "i-1"}[second.incarnation]
+            self.assertEqual(first in {a.incarnation for a in sent(actions)}, is_sent_again, name)
+
     def test_a_refusal_after_an_unknown_attempt_is_answered_as_unknown(self):
         entry, actions = self._second("lookup", "unknown")
         (second,) = sent(actions)
