A message or action that fails does not keep back the next

Cause: an exception of one action ended its event, and all actions behind it; and one in the first messages of a new link dropped the others that waited for it and left the link without a reader.

Fix: each action is performed on its own. The encoder refuses what no peer could decode, as PeerError; an attempt of which that is true is answered as not run, other messages are dropped with event 407. The writing task of a link closes the link however it ends.

--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -104,6 +104,9 @@
     CatalogueEntry(
         406, "entry_lost", logging.INFO, "A link over which an entry sent attempts was lost."
     ),
+    CatalogueEntry(
+        407, "message_refused", logging.ERROR, "A message to a peer could not be encoded."
+    ),
     CatalogueEntry(500, "document_in_force", logging.INFO, "A newer document came into force."),
     CatalogueEntry(
         501, "document_refused", logging.WARNING, "A document was refused; states the reason."
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -41,7 +41,7 @@
 from pollenroad.proxy.metrics import CONTENT_TYPE, ProxyMetrics
 from pollenroad.proxy.settings import ProxySettings, load_proxy_settings, seconds
 from pollenroad.proxy.upstream import Upstream
-from pollenroad.shell.driver import Driver
+from pollenroad.shell.driver import Driver, perform_logged
 from pollenroad.shell.peers import Identity, Peers
 from pollenroad.shell.tasks import spawn_supervised
 from pollenroad.verdicts import Verdict
@@ -139,7 +139,7 @@
 
     def _handle(self, event: Event) -> None:
         for action in self.cores.handle(event, time.monotonic()):
-            self._perform(action)
+            perform_logged(self._perform, action)
 
     def _perform(self, action: Action) -> None:
         match action:
--- a/src/pollenroad/shell/daemon.py
+++ b/src/pollenroad/shell/daemon.py
@@ -37,7 +37,7 @@
 from pollenroad.relay.relay import RelaySettings
 from pollenroad.settings import Settings
 from pollenroad.shell.control_cost import make_cost_meter
-from pollenroad.shell.driver import Driver
+from pollenroad.shell.driver import Driver, perform_logged
 from pollenroad.shell.http import Calls, make_call_app, make_call_server
 from pollenroad.shell.metrics import make_metrics
 from pollenroad.shell.operator_http import make_operator_server
@@ -135,7 +135,7 @@
             for action in self.cores.handle(event, now):
                 if self._recorder:
                     self._recorder.record_action(action)
-                self._perform(action)
+                perform_logged(self._perform, action)
 
     def _perform(self, action: Action) -> None:
         match action:
--- a/src/pollenroad/shell/driver.py
+++ b/src/pollenroad/shell/driver.py
@@ -13,6 +13,14 @@
 """Time for one event from which it is logged as a stall of the event loop, in seconds."""
 
 
+def perform_logged(perform: Callable[[object], None], action: object) -> None:
+    """Perform one action; an unexpected error is logged, so that the next action is performed."""
+    try:
+        perform(action)
+    except Exception as error:
+        log("internal_error", where=type(action).__name__, reason=repr(error))
+
+
 class Driver:
     """Event queue and timer of one daemon.
 
--- a/src/pollenroad/shell/frames.py
+++ b/src/pollenroad/shell/frames.py
@@ -82,8 +82,16 @@
     Args:
         message: The message.
         compress: Whether the receiver can read compressed frames.
+
+    Raises:
+        PeerError: If a value of the message cannot be encoded, or the frame would be too long.
     """
-    body = encode_body(message)
+    try:
+        body = encode_body(message)
+    except (OverflowError, ValueError, TypeError, RecursionError) as error:
+        raise PeerError(f"{type(message).__name__} cannot be encoded: {error}") from error
+    if len(body) > MAX_FRAME_BYTES:
+        raise PeerError(f"{type(message).__name__} of {len(body)} bytes, limit {MAX_FRAME_BYTES}")
     if compress and len(body) >= MIN_COMPRESSED_BYTES:
         compressed = _compress(body)
         if len(compressed) < len(body):
--- a/src/pollenroad/shell/peers.py
+++ b/src/pollenroad/shell/peers.py
@@ -43,6 +43,7 @@
 )
 from pollenroad.shell.sockets import set_liveness_options
 from pollenroad.shell.tasks import TurnCounter
+from pollenroad.verdicts import Verdict
 
 DIAL_TIMEOUT_S = 0.5
 HELLO_TIMEOUT_S = 2.0
@@ -54,6 +55,8 @@
 MAX_NONBLOCKING_BYTES = 65_536
 """Longest frame that is written without a task switch, in bytes."""
 MAX_INBOUND_LINKS = 12_000
+UNSENDABLE = "unsendable"
+"""Reason code of an attempt that cannot be encoded."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +108,11 @@
         self._writer = gevent.spawn(self._write)
 
     def send(self, message: PeerMessage) -> None:
+        """Queue one message.
+
+        Raises:
+            PeerError: If it cannot be encoded; the link is not affected.
+        """
         if self._closed:
             self._on_closed(self, [message])
             return
@@ -149,6 +157,7 @@
                     self._wake.wait()
         except OSError as error:
             self.end_error = error
+        finally:
             self.close()
 
     def _write_next(self) -> None:
@@ -242,7 +251,7 @@
             return
         link = self._find_link(peer, message)
         if link is not None:
-            link.send(message)
+            self._send_on(link, message)
         elif peer in self._pending_by_peer:
             self._pending_by_peer[peer].append(message)
         else:
@@ -258,6 +267,16 @@
             case _:
                 return self._dialled_by_peer.get(peer)
 
+    def _send_on(self, link: _Link, message: PeerMessage) -> None:
+        """Send one message; an attempt that cannot be encoded is answered as not run."""
+        try:
+            link.send(message)
+        except PeerError as error:
+            log("message_refused", peer=link.peer, reason=str(error))
+            if isinstance(message, Attempt):
+                answer = AttemptAnswer(message.attempt_id, Verdict.NOT_RUN.value, UNSENDABLE)
+                self._post(PeerReceived(link.peer, answer))
+
     # --- Dialling ---
 
     def _dial(self, peer: str) -> None:
@@ -269,7 +288,7 @@
             return
         self._dialled_by_peer[peer] = link
         for message in self._pending_by_peer.pop(peer):
-            link.send(message)
+            self._send_on(link, message)
         log("peer_connected", peer=peer)
         link.read(lambda message: self._post(PeerReceived(peer, message)))
 
