An item of the store that daemons cannot carry or use names no endpoint

Operators of other systems report the same of nested entries, large numbers and ports out of range.

Cause: the decoder accepted whole numbers of any size. The watcher's directory then held an entry that MessagePack cannot encode, so that each update and each whole copy failed for the daemons that do not watch.

A malformed entry ends the registration of its key, so that daemons that watch agree with those that read everything. Endpoints of undeclared services are kept but not used: an odd entry with a later start took the address of the real endpoint. The time left of an attempt is cut to what the guard accepts.

Two tests of test_proxy_directory let an undeclared service take an address over; they declare it now, and check the same as before.

Ruled out: dropping the entry where it is encoded. The watcher would then use an endpoint that the others don't know.

--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -27,7 +27,10 @@
 
 PROTOCOL_VERSION = 2
 
-RemainingMs = Annotated[float, Meta(ge=-600_000, le=600_000)]
+MAX_REMAINING_MS = 600_000
+"""Longest time until the deadline of an attempt, in milliseconds."""
+
+RemainingMs = Annotated[float, Meta(ge=-MAX_REMAINING_MS, le=MAX_REMAINING_MS)]
 
 
 class Request(Message):
--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -211,6 +211,7 @@
             return
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
+        self._registrations.declare(frozenset(configuration.service_by_name))
         yield Record(
             "configuration_in_force",
             (
--- a/src/pollenroad/proxy/registrations.py
+++ b/src/pollenroad/proxy/registrations.py
@@ -64,6 +64,7 @@
         self.epoch = 0
         """Epoch of the platform, by its last complete contents."""
         self._outage = outage
+        self._declared_services: frozenset[str] | None = None
         self._endpoint_by_incarnation: dict[str, RegisteredEndpoint] = {}
         self._endpoints_by_service: dict[str, list[RegisteredEndpoint]] = {}
         self._newest_by_server: dict[str, RegisteredEndpoint] = {}
@@ -102,6 +103,11 @@
 
     # --- Updates ---
 
+    def declare(self, services: frozenset[str]) -> None:
+        """Set the names of the services that have endpoints; others are kept, but not used."""
+        self._declared_services = services
+        self._is_indexed = False
+
     def replace_all(
         self, endpoint_by_incarnation: Mapping[str, RegisteredEndpoint], now: float
     ) -> Iterator[Record]:
@@ -231,14 +237,18 @@
         """Index endpoints by server address and by service.
 
         Only the newest registration at an address counts: the lease of a stopped server may still
-        be valid when another server already uses its address.
+        be valid when another server already uses its address. One of a service that is not declared
+        names no server, and does not count against another one at its address.
         """
         if self._is_indexed:
             return
         self._is_indexed = True
         self._endpoints_by_service.clear()
         self._newest_by_server.clear()
-        for endpoint in sorted(self._endpoint_by_incarnation.values(), key=_start_order):
+        declared = self._declared_services
+        known = self._endpoint_by_incarnation.values()
+        candidates = (e for e in known if declared is None or e.service in declared)
+        for endpoint in sorted(candidates, key=_start_order):
             self._newest_by_server[endpoint.server] = endpoint
         for endpoint in self._newest_by_server.values():
             self._endpoints_by_service.setdefault(endpoint.service, []).append(endpoint)
--- a/src/pollenroad/proxy/selection.py
+++ b/src/pollenroad/proxy/selection.py
@@ -2,7 +2,7 @@
 
 import random
 
-from pollenroad.messages import Attempt
+from pollenroad.messages import MAX_REMAINING_MS, Attempt
 from pollenroad.proxy.calls import OpenAttempt, OpenCall
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.fleet import EndpointView, Work, make_fleet
@@ -71,6 +71,7 @@
         self._attempt_count += 1
         route = call.route
         is_long = len(call.arrived.request.body) > MAX_PUSHBACK_BODY_BYTES
+        remaining_ms = (call.deadline - now - ANSWER_MARGIN_S) * 1000
         accepts_pushback = call.pushbacks < MAX_PUSHBACKS and not is_long
         return Attempt(
             attempt_id=f"{self._incarnation}-{self._attempt_count}",
@@ -79,7 +80,7 @@
             customer="",
             request_class=route.name,
             idempotent=route.idempotent,
-            remaining_ms=(call.deadline - now - ANSWER_MARGIN_S) * 1000,
+            remaining_ms=min(MAX_REMAINING_MS, remaining_ms),
             request=call.arrived.request,
             number=call.attempts + 1,
             config_version=self._directory.configuration.version,
--- a/src/pollenroad/proxy/settings.py
+++ b/src/pollenroad/proxy/settings.py
@@ -1,5 +1,6 @@
 """Settings of a proxy's daemon, a JSON file; see docs/operators/platform.md."""
 
+import math
 import re
 from pathlib import Path
 from typing import Annotated
@@ -9,7 +10,7 @@
 
 from pollenroad.exceptions import ConfigurationError
 
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 
 Duration = Annotated[str, Meta(pattern=r"^\d+(\.\d+)?(ms|s)$")]
 """A number with its unit, such as `1500ms` or `2.5s`."""
@@ -58,12 +59,13 @@
     """Return a duration such as `1500ms` or `2.5s` in seconds.
 
     Raises:
-        ValueError: If it is not a number with the unit `ms` or `s`.
+        ValueError: If it is not a finite number with the unit `ms` or `s`.
     """
     match = _DURATION.fullmatch(duration)
-    if match is None:
-        raise ValueError(f"{duration!r} is not a duration such as 1500ms or 2.5s")
-    return float(match[1]) / (1000 if match[2] == "ms" else 1)
+    value = float(match[1]) if match else math.inf
+    if not math.isfinite(value):
+        raise ValueError(f"{duration[:64]!r} is not a duration such as 1500ms or 2.5s")
+    return value / (1000 if match[2] == "ms" else 1)
 
 
 def load_proxy_settings(path: str) -> ProxySettings:
--- a/tests/proxy/test_proxy_directory.py
+++ b/tests/proxy/test_proxy_directory.py
@@ -6,7 +6,7 @@
 from pollenroad.proxy.boundary import DirectoryChanged, DirectoryLost, EndpointRemoved
 from pollenroad.proxy.registrations import MASS_LAPSE_GRACE_S, RENEWAL_GRACE_S
 from pollenroad.proxy.routes import RouteTable, Splitter
-from pollenroad.published import DomainOut, Share
+from pollenroad.published import Configuration, DomainOut, Share
 from tests.proxy.samples import (
     SERVICE,
     configuration,
@@ -15,9 +15,15 @@
     events_of,
     read,
     route,
+    rules,
 )
 
 
+def declaring(*services: str) -> Configuration:
+    """Return a configuration that declares these services."""
+    return Configuration(1, (route(),), {name: rules(name=name) for name in services})
+
+
 def names(directory) -> list[str]:
     return sorted(e.incarnation for e in directory.endpoints(SERVICE))
 
@@ -120,12 +126,12 @@
 
     def test_the_newest_incarnation_at_an_address_counts(self):
         old, new = endpoint(1), endpoint(2, server=endpoint(1).server, service="other")
-        directory = directory_with(old, new)
+        directory = directory_with(old, new, config=declaring(SERVICE, "other"))
         self.assertEqual(directory.endpoint_at(old.server).incarnation, "i-2")
 
     def test_an_endpoint_whose_address_is_reused_by_a_newer_one_gets_no_work(self):
         old = endpoint(1, born_ms=1_000)
-        directory = directory_with(old)
+        directory = directory_with(old, config=declaring(SERVICE, "other"))
         other = endpoint(2, server=old.server, service="other", born_ms=2_000, revision=11)
         directory.handle(DirectoryChanged(11, (other,)), 1.0)
         self.assertEqual(names(directory), [], "the server of this registration has stopped")
--- a/tests/users/test_users_path.py
+++ b/tests/users/test_users_path.py
@@ -191,6 +191,39 @@
         self.assertEqual(self.fleet.request(self.fleet.hosts[0], READ, self._id())[0], 200)
 
 
+ODD_ENTRIES = {
+    "nested": b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    "too-large": {"slots": 10**30, "service": "delta"},
+    "port": {"addr": "127.0.103.99:70000"},
+    "host": {"addr": "server.example:8147"},
+    "cold": {"cold_left": "9" * 400 + "s"},
+    "id \u00e9": {},
+}
+
+
+class OddEntryTest(unittest.TestCase):
+    # A report of other operators: such entries ended daemons, or kept them from following changes.
+    def test_odd_entries_of_another_writer_keep_no_daemon_from_following_the_store(self):
+        fleet = UsersFleet(4, 103)  # Two of them are in one failure domain, where one watches.
+        self.addCleanup(fleet.close)
+        fleet.start_all()
+        entry = {"service": "alpha", "addr": "127.0.103.99:8147", "zone": "a", "version": "v1",
+                 "slots": 8, "state": "ready", "cold_left": "0ms", "seq": 1, "born": 1}  # fmt: skip
+        for name, odd in ODD_ENTRIES.items():
+            value = odd if isinstance(odd, bytes) else entry | odd
+            fleet.store.put(f"servers/{name}", value)
+        config = configuration(9)
+        config["routes"]["rows"].append(["new", "shop.example", "/alpha/new/", "safe", "1500ms",
+                                         "600ms", 1, "alpha", 2, None])  # fmt: skip
+        fleet.store.put("op/config", config)
+        for number, host in enumerate(fleet.hosts):
+            await_condition(
+                lambda n=number, h=host: fleet.request(h, "/alpha/new/", f"o{n}")[0] == 200
+            )
+            self.assertIsNone(fleet.process_by_host[host].poll())
+            self.assertFalse('"internal_error"' in fleet.log_by_host[host].read_text())
+
+
 class ChangeTest(unittest.TestCase):
     def setUp(self):
         self.fleet = UsersFleet(3, 102)
