The changes of one update apply in their order

Cause: the directory applied the removals of an update first, and left out those of endpoints that also had an entry in it. A heartbeat and a removal within the 0.44 s that a watcher gathers came together, and the removal was lost for good.

Fix: changes apply in order. Registrations that end in the same update are still judged together, as leases that run out together may be a lapse. Watchers tell the others also what an endpoint said before its end if that was that it leaves, and the newest configuration instead of the last.

Evidence: test_update_order fails before in all four tests: a removed endpoint in use, one that had said it leaves kept as lapsed, version 2 in force instead of 3; 400 orders of up to seven changes agree with one change an update now, at a watcher and at a daemon that it tells.

Ruled out: keeping only the last change of each endpoint. It loses that the endpoint had said it leaves, which tells an end from a lapse.

--- a/src/pollenroad/proxy/directory.py
+++ b/src/pollenroad/proxy/directory.py
@@ -183,17 +183,12 @@
         yield from self._registrations.replace_all(event.endpoint_by_incarnation, now)
 
     def _apply_changes(self, items: tuple[DirectoryItem, ...], now: float) -> Iterator[Record]:
-        removed = [item.incarnation for item in items if isinstance(item, EndpointRemoved)]
-        registered = {item.incarnation for item in items if isinstance(item, RegisteredEndpoint)}
-        yield from self._registrations.remove(
-            [incarnation for incarnation in removed if incarnation not in registered], now
-        )
+        changes = [i for i in items if isinstance(i, RegisteredEndpoint | EndpointRemoved)]
+        yield from self._registrations.apply(changes, now)
         for item in items:
             match item:
                 case Configuration():
                     yield from self._configure(item)
-                case RegisteredEndpoint():
-                    yield from self._registrations.register(item)
                 case DomainOut(domain, is_out):
                     self._held_out_until.pop(domain, None)
                     others = self.stated_out_domains - {domain}
--- a/src/pollenroad/proxy/directory_updates.py
+++ b/src/pollenroad/proxy/directory_updates.py
@@ -12,26 +12,33 @@
 
 
 def update_of(event: DirectoryChanged, lost_ago_s: float) -> DirectoryNews:
-    """Return the message with these changes; the last of several changes to one key wins."""
-    endpoint_by_incarnation: dict[str, RegisteredEndpoint | None] = {}
+    """Return the message with these changes; the last of several changes to one key wins.
+
+    Only what an endpoint said before its registration ended is kept if it left: its end is then no
+    lapse. Its receiver applies registrations first.
+    """
+    endpoint_by_incarnation: dict[str, RegisteredEndpoint] = {}
+    removed: set[str] = set()
     domain_by_name: dict[str, DomainOut] = {}
     configuration = None
     for item in event.items:
         match item:
-            case Configuration():
+            case Configuration() if configuration is None or item.version > configuration.version:
                 configuration = item
             case RegisteredEndpoint():
                 endpoint_by_incarnation[item.incarnation] = item
+                removed.discard(item.incarnation)
             case EndpointRemoved(incarnation):
-                endpoint_by_incarnation[incarnation] = None
+                removed.add(incarnation)
             case DomainOut():
                 domain_by_name[item.failure_domain] = item
+    stated = endpoint_by_incarnation.values()
     return DirectoryNews(
         after=event.after,
         revision=event.revision,
         configuration=configuration,
-        endpoints=tuple(e for e in endpoint_by_incarnation.values() if e is not None),
-        removed=tuple(name for name, e in endpoint_by_incarnation.items() if e is None),
+        endpoints=tuple(e for e in stated if e.is_leaving or e.incarnation not in removed),
+        removed=tuple(sorted(removed)),
         domains=tuple(domain_by_name.values()),
         lost_ago_s=min(1e9, lost_ago_s),
         epoch=event.epoch,
--- a/src/pollenroad/proxy/registrations.py
+++ b/src/pollenroad/proxy/registrations.py
@@ -7,10 +7,11 @@
 has outlived its lease.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from pollenroad.boundary import Record
+from pollenroad.proxy.boundary import EndpointRemoved
 from pollenroad.published import RegisteredEndpoint
 
 RENEWAL_GRACE_S = 2.2
@@ -113,7 +114,8 @@
     ) -> Iterator[Record]:
         """Apply the complete contents of the platform."""
         known = (*self._endpoint_by_incarnation, *self._doubted_by_incarnation)
-        yield from self.remove([n for n in known if n not in endpoint_by_incarnation], now)
+        ended = [EndpointRemoved(n) for n in known if n not in endpoint_by_incarnation]
+        yield from self.apply(ended, now)
         for endpoint in endpoint_by_incarnation.values():
             if self._is_restored(endpoint):
                 yield from self._doubt(endpoint, now)
@@ -136,23 +138,37 @@
         if is_new or before.is_leaving != endpoint.is_leaving:
             yield _registered(endpoint)
 
-    def remove(self, incarnations: list[str], now: float) -> Iterator[Record]:
-        """Apply the end of registrations; those that may have lapsed stay in use for a while."""
-        for incarnation in incarnations:
-            self._doubted_by_incarnation.pop(incarnation, None)
-            self._doubted_until.pop(incarnation, None)
-        known = [n for n in incarnations if n in self._endpoint_by_incarnation]
-        for incarnation in known:
-            self._removed_at[incarnation] = now
-        for incarnation in known:
-            wait_s = self._grace_s(incarnation, now)
-            if wait_s:
-                self._lapsed_until.setdefault(incarnation, now + wait_s)
-                yield Record(
-                    "endpoint_doubtful", (("endpoint", incarnation), ("wait_s", round(wait_s, 3)))
-                )
-            else:
-                yield self._drop(incarnation, "registration ended", now)
+    def apply(
+        self, changes: Sequence[RegisteredEndpoint | EndpointRemoved], now: float
+    ) -> Iterator[Record]:
+        """Apply the changes of one update, in order.
+
+        The registrations that have ended after it count as ended together, see `_grace_s`.
+        """
+        last_by_incarnation = {change.incarnation: change for change in changes}
+        for incarnation, last in last_by_incarnation.items():
+            if isinstance(last, EndpointRemoved) and incarnation in self._endpoint_by_incarnation:
+                self._removed_at[incarnation] = now
+        for change in changes:
+            match change:
+                case RegisteredEndpoint():
+                    yield from self.register(change)
+                case EndpointRemoved(incarnation):
+                    yield from self._remove(incarnation, now)
+
+    def _remove(self, incarnation: str, now: float) -> Iterator[Record]:
+        """Apply the end of a registration; one that may have lapsed stays in use for a while."""
+        self._doubted_by_incarnation.pop(incarnation, None)
+        self._doubted_until.pop(incarnation, None)
+        if incarnation not in self._endpoint_by_incarnation:
+            return
+        self._removed_at[incarnation] = now
+        wait_s = self._grace_s(incarnation, now)
+        if not wait_s:
+            yield self._drop(incarnation, "registration ended", now)
+            return
+        self._lapsed_until.setdefault(incarnation, now + wait_s)
+        yield Record("endpoint_doubtful", (("endpoint", incarnation), ("wait_s", round(wait_s, 3))))
 
     def expire(self, now: float) -> Iterator[Record]:
         """Drop lapsed endpoints that did not register again, and use doubted ones that remained."""
