Octets above 127 in a field no longer leave a connection without answers

A request with such an octet in its own field was answered 502 each time.

Cause: fields travel as text decoded as Latin-1, and were given to h11 as text, which it encodes as ASCII. The error ended the writing task of the connection, which only expected errors of sockets and h11; the reading task went on.

Fix: fields are encoded back to octets. However the writing task ends, the connection ends, also if the reading task waits for it. An answer that HTTP cannot carry is replaced by a 502, and the answers behind it follow. A request that cannot be encoded is known not to have run.

Ruled out: dropping or replacing such octets, as HTTP allows them and servers' fields are forwarded unchanged.

--- a/src/pollenroad/headers.py
+++ b/src/pollenroad/headers.py
@@ -35,6 +35,18 @@
 _OWN_PREFIX = "pollenroad-"
 
 
+def encode_fields(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    """Return header fields as the octets that they were decoded from.
+
+    Fields may hold octets above 127 (RFC 9110, section 5.5); they are decoded as Latin-1, one
+    character each.
+
+    Raises:
+        UnicodeEncodeError: If a field has other characters.
+    """
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+
+
 def end_to_end(headers: Iterable[tuple[str, str]]) -> Iterator[tuple[str, str]]:
     """Yield the headers to forward.
 
--- a/src/pollenroad/proxy/caller_connection.py
+++ b/src/pollenroad/proxy/caller_connection.py
@@ -69,6 +69,8 @@
         self._exchanges: deque[Exchange] = deque()
         self._wake = Flag()
         self._is_ending = False
+        self._is_writing = True
+        """Whether the writing task goes on."""
         self._can_read = Flag()
         self._can_read.set()
 
@@ -106,7 +108,7 @@
                 return
             leftover = partial.connection.trailing_data[0]
             self._handle_request(partial)
-            if len(self._exchanges) >= MAX_PIPELINED:
+            if len(self._exchanges) >= MAX_PIPELINED and self._is_writing:
                 self._can_read.clear()
             self._can_read.wait()
 
@@ -239,7 +241,7 @@
             answer = replace(answer, retry_after_ms=NO_MEMORY_RETRY_MS)
         self.set_answer(answer)
         self._is_ending = True
-        while self._exchanges:
+        while self._exchanges and self._is_writing:
             self._can_read.clear()
             self._can_read.wait()
         self._discard_input()
@@ -270,18 +272,25 @@
         self._wake.set()
 
     def _write(self) -> None:
+        """Write answers until the connection ends; however that happens, reading ends as well."""
+        is_done = False
         try:
-            while True:
+            while not is_done:
                 self._wake.wait()
                 self._wake.clear()
                 if self._write_ready():
                     self._linger()
-                    return
-                if self._is_ending and not self._exchanges:
-                    return
-        except (OSError, gevent.Timeout, h11.LocalProtocolError) as error:
+                    is_done = True
+                is_done = is_done or (self._is_ending and not self._exchanges)
+        except (OSError, gevent.Timeout) as error:
             log("caller_lost", reason=f"{type(error).__name__}: {error}", open=len(self._exchanges))
-            self._end_reading()
+        except Exception as error:
+            log("internal_error", where="answers of a caller", reason=repr(error))
+        finally:
+            self._is_writing = False
+            if not is_done:
+                self._end_reading()
+            self._can_read.set()
 
     def _write_ready(self) -> bool:
         """Write the answers that are next in order; return whether to close the connection then."""
@@ -289,7 +298,7 @@
             exchange = self._exchanges[0]
             is_last = len(self._exchanges) == 1
             closes = is_last and (self._callers.is_closing or self._is_ending)
-            data, ends = answer_bytes(exchange, closes)
+            data, ends = self._encode(exchange, closes)
             with gevent.Timeout(WRITE_TIMEOUT_S):
                 self._sock.sendall(data)
             if self._exchanges and self._exchanges[0] is exchange:
@@ -300,6 +309,16 @@
                 return True
         return False
 
+    def _encode(self, exchange: Exchange, closes: bool) -> tuple[bytes, bool]:
+        """Return the bytes of an answer, or of a failure if HTTP cannot carry it."""
+        try:
+            return answer_bytes(exchange, closes)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            request_id = exchange.request_id
+            log("internal_error", where="answer", request_id=request_id, reason=repr(error))
+            exchange.answer = AnswerCall(exchange.call_id, Verdict.UNKNOWN, "unsendable")
+            return answer_bytes(exchange, closes)
+
     def _linger(self) -> None:
         self._is_ending = True
         self._sock.shutdown(socket.SHUT_WR)
--- a/src/pollenroad/proxy/exchanges.py
+++ b/src/pollenroad/proxy/exchanges.py
@@ -6,6 +6,7 @@
 import h11
 
 from pollenroad.boundary import AnswerCall
+from pollenroad.headers import encode_fields
 from pollenroad.proxy.byte_budget import Reservation
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.verdicts import Verdict
@@ -96,7 +97,12 @@
 
 
 def answer_bytes(exchange: Exchange, closes: bool) -> tuple[bytes, bool]:
-    """Return the bytes of an answer, and whether the connection closes after it."""
+    """Return the bytes of an answer, and whether the connection closes after it.
+
+    Raises:
+        h11.LocalProtocolError: If it is not valid HTTP, or follows a malformed request.
+        UnicodeEncodeError: If a field has characters that are no octets.
+    """
     answer = exchange.answer
     fields = [("Connection", "close")] if closes else []
     if answer.response is not None:
@@ -110,7 +116,8 @@
     fields.append(("Content-Length", str(len(body))))
     connection = exchange.connection
     if connection.our_state is h11.IDLE or connection.our_state is h11.SEND_RESPONSE:
-        data = connection.send(h11.Response(status_code=status, headers=fields))
+        head = h11.Response(status_code=status, headers=encode_fields(fields))
+        data = connection.send(head)
         data += connection.send(h11.Data(data=body)) + connection.send(h11.EndOfMessage())
         return data, closes or connection.our_state is h11.MUST_CLOSE
     raise h11.LocalProtocolError("cannot send an answer after a malformed request")
--- a/src/pollenroad/proxy/http1.py
+++ b/src/pollenroad/proxy/http1.py
@@ -14,6 +14,7 @@
 
 from pollenroad.addresses import split_address
 from pollenroad.exceptions import ExchangeError
+from pollenroad.headers import encode_fields
 from pollenroad.logs import log
 from pollenroad.proxy.byte_budget import ByteBudget
 from pollenroad.proxy.reply_parser import (
@@ -103,13 +104,16 @@
 
         Raises:
             ExchangeError: If the answer is incomplete, not valid HTTP or exceeds a bound; the
-                request may have run.
+                request may have run. Also if the request is not valid HTTP; then nothing was sent.
         """
         fields = [*headers]
         if body or method in ("POST", "PUT", "PATCH"):
             fields.append(("Content-Length", str(len(body))))
-        request = h11.Request(method=method, target=target, headers=fields)
-        data = _encode(request, body)
+        try:
+            request = h11.Request(method=method, target=target, headers=encode_fields(fields))
+            data = _encode(request, body)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            raise ExchangeError(f"request cannot be sent: {error}", reached=False) from error
         try:
             if len(body) < SEPARATE_SEND_BYTES:
                 self._sock.sendall(data)
--- /dev/null
+++ b/tests/proxy/test_caller_connection.py
@@ -0,0 +1,109 @@
+"""Answers to callers that HTTP, or the writing task, cannot carry."""
+
+import unittest
+from unittest import mock
+
+import gevent
+
+from pollenroad.boundary import AnswerCall
+from pollenroad.messages import Response
+from pollenroad.proxy import caller_connection
+from pollenroad.proxy.boundary import RequestArrived
+from pollenroad.proxy.caller_connection import MAX_PIPELINED, make_caller_server
+from pollenroad.proxy.callers import Callers
+from pollenroad.proxy.dialect import Dialect
+from pollenroad.verdicts import Verdict
+from tests.users.raw_http import read_message, request_bytes
+
+WAIT_S = 5.0
+NAME = "Zo\u00e9"
+
+
+class CallerConnectionTest(unittest.TestCase):
+    def setUp(self):
+        self.arrived: list[RequestArrived] = []
+        self.fields_by_path: dict[str, tuple] = {}
+        self.is_answering = True
+        self.callers = Callers(Dialect(), self._post)
+        server = make_caller_server("127.0.0.1:0", self.callers)
+        server.start()
+        self.addCleanup(server.stop)
+        self.sock = gevent.socket.create_connection(("127.0.0.1", server.server_port), WAIT_S)
+        self.addCleanup(self.sock.close)
+        self.stream = self.sock.makefile("rb")
+
+    def _post(self, event):
+        if isinstance(event, RequestArrived):
+            self.arrived.append(event)
+            if self.is_answering:
+                self._answer(event)
+
+    def _answer(self, event: RequestArrived):
+        path = event.request.path
+        response = Response(200, self.fields_by_path.get(path, ()), path.encode())
+        self.callers.answer(AnswerCall(event.call_id, Verdict.RAN, "", response))
+
+    def _send(self, *paths: str, **fields: str):
+        for path in paths:
+            self.sock.sendall(request_bytes("GET", path, {"Host": "x"} | fields))
+
+    def _read(self) -> tuple[int, dict, bytes] | None:
+        with gevent.Timeout(WAIT_S):
+            message = read_message(self.stream)
+        return message and (int(message[0].split()[1]), message[1], message[2])
+
+    def _await_end(self):
+        with gevent.Timeout(WAIT_S):
+            self.assertEqual(self.stream.read(), b"")
+            while self.callers.open_requests or self.callers.reading:
+                gevent.sleep(0.01)
+
+    # Such an octet ended the writing task: the connection got no answer any more, and no close.
+    def test_octets_above_127_in_a_field_of_an_answer_go_on_unchanged(self):
+        self.fields_by_path["/a"] = (("X-Note", NAME),)
+        self._send("/a", "/b")
+        status, headers, body = self._read()
+        self.assertEqual((status, headers["x-note"], body), (200, NAME, b"/a"))
+        self.assertEqual(self._read()[2], b"/b")
+
+    def test_octets_above_127_in_a_field_of_a_request_are_decoded_one_by_one(self):
+        self._send("/a", **{"X-Note": NAME})
+        self._read()
+        self.assertIn(("X-Note", NAME), self.arrived[0].request.headers)
+
+    def test_an_answer_that_http_cannot_carry_is_a_failure_and_the_next_one_follows(self):
+        self.fields_by_path = {"/a": (("X-Note", "a\r\nb"),), "/b": (("X-Note", "\u2603"),)}
+        self._send("/a", "/b", "/c")
+        answers = [self._read() for _ in range(3)]
+        self.assertEqual([status for status, _, _ in answers], [502, 502, 200])
+        self.assertEqual(answers[2][2], b"/c")
+
+    def test_an_unexpected_error_of_the_writing_task_closes_the_connection(self):
+        with mock.patch.object(caller_connection, "answer_bytes", side_effect=RuntimeError):
+            self._send("/a")
+            self._await_end()
+
+    def test_it_does_so_while_reading_waits_for_answers(self):
+        self.is_answering = False
+        self._send(*("/a",) * MAX_PIPELINED)
+        with gevent.Timeout(WAIT_S):
+            while len(self.arrived) < MAX_PIPELINED:
+                gevent.sleep(0.01)
+        with mock.patch.object(caller_connection, "answer_bytes", side_effect=RuntimeError):
+            self._answer(self.arrived[0])
+            self._await_end()
+
+    def test_it_does_so_while_a_malformed_request_waits_for_its_refusal(self):
+        self.is_answering = False
+        self._send("/a")
+        self.sock.sendall(b"malformed\r\n\r\n")
+        with gevent.Timeout(WAIT_S):
+            while self.callers.open_requests < 2:
+                gevent.sleep(0.01)
+        with mock.patch.object(caller_connection, "answer_bytes", side_effect=RuntimeError):
+            self._answer(self.arrived[0])
+            self._await_end()
+
+
+if __name__ == "__main__":
+    unittest.main()
