Numbers in a server's fields are bounded where they are parsed

Callers would get 502 for a request that ran and was answered whole, if the server's load field held a digit of Latin-1 or a number beyond a float; no such case is known outside of tests.

Cause: str.isdigit accepts digits that int refuses, and a number of 400 digits overflows or becomes infinite. An infinite limit made the guard's datagrams fail (round of nan); an infinite slowdown at an entry made the record of its next attempt fail, before the attempt was sent.

Fix: whole numbers have at most nine ASCII digits, a limit is finite, and a report that is not finite is refused with a log line.

--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -58,6 +58,9 @@
         206, "caller_refused", logging.INFO, "A caller sent a request that is not accepted."
     ),
     CatalogueEntry(207, "server_slow", logging.INFO, "A guard reported that its server is slow."),
+    CatalogueEntry(
+        208, "report_refused", logging.WARNING, "A load report has numbers that are not finite."
+    ),
     CatalogueEntry(
         300, "attempt_refused", logging.DEBUG, "A guard refused an attempt, which did not run."
     ),
--- a/src/pollenroad/messages.py
+++ b/src/pollenroad/messages.py
@@ -5,6 +5,7 @@
 messages.
 """
 
+import math
 from typing import Annotated, Literal
 
 from msgspec import Meta
@@ -78,6 +79,11 @@
     """Time until a new attempt may start within that limit, in milliseconds; negative if there is
     room for more than one."""
 
+    @property
+    def is_finite(self) -> bool:
+        """Whether costs can be computed from its numbers."""
+        return all(map(math.isfinite, (self.slowdown, self.limit_per_s or 0, self.limit_wait_ms)))
+
 
 class Attempt(Message, tag="attempt"):
     """One attempt to run a call at one endpoint.
--- a/src/pollenroad/proxy/advertised.py
+++ b/src/pollenroad/proxy/advertised.py
@@ -5,6 +5,12 @@
 
 _DECIMAL = re.compile(r"(\d+(\.\d*)?|\.\d+)", re.ASCII)
 
+MAX_LIMIT_PER_S = 1e9
+"""Highest limit that is applied, in requests a second: a higher one limits nothing."""
+
+MAX_LOGGED_CHARACTERS = 64
+"""Longest part of an unreadable limit that is kept."""
+
 
 @dataclass(frozen=True, slots=True)
 class Unlimited:
@@ -37,8 +43,8 @@
     if not stripped:
         return UNLIMITED
     if not _DECIMAL.fullmatch(stripped):
-        return UnreadableLimit(stripped)
-    return RateLimit(float(stripped))
+        return UnreadableLimit(stripped[:MAX_LOGGED_CHARACTERS])
+    return RateLimit(min(MAX_LIMIT_PER_S, float(stripped)))
 
 
 class Advertised:
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -39,7 +39,13 @@
 )
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.fleet import EndpointView
-from pollenroad.proxy.records import attempt_ended, attempt_sent, call_answered, server_slow
+from pollenroad.proxy.records import (
+    attempt_ended,
+    attempt_sent,
+    call_answered,
+    report_refused,
+    server_slow,
+)
 from pollenroad.proxy.refusals import LIMITED
 from pollenroad.proxy.routes import Splitter
 from pollenroad.proxy.selection import EndpointSelector
@@ -94,6 +100,8 @@
                     yield from self._on_request(self._pop_unrouted(call_id), now)
             case PeerReceived(_, AttemptAnswer() as answer):
                 yield from self._on_answer(answer, now)
+            case LoadHeard(_, report) if not report.is_finite:
+                yield report_refused(report)
             case LoadHeard(_, report) if self.fleet.learn(report, now):
                 yield server_slow(report)
             case CallAbandoned(call_id):
@@ -179,8 +187,10 @@
             return
         call, attempt = closed
         verdict = Verdict(answer.verdict)
-        if answer.load is not None:
+        if answer.load is not None and answer.load.is_finite:
             attempt.view.learn(answer.load, now)
+        elif answer.load is not None:
+            yield report_refused(answer.load)
         yield attempt_ended(call, answer.attempt_id, attempt, verdict, answer.reason, now)
         match verdict:
             case Verdict.RAN:
--- a/src/pollenroad/proxy/load_datagrams.py
+++ b/src/pollenroad/proxy/load_datagrams.py
@@ -56,10 +56,10 @@
     """Return the load report decoded from a datagram.
 
     Raises:
-        msgspec.DecodeError: If the datagram is malformed.
+        msgspec.DecodeError: If the datagram is malformed, or has a number that is not finite.
     """
     notice = _DECODER.decode(data)
-    return LoadReport(
+    report = LoadReport(
         service=notice.service,
         endpoint=notice.endpoint,
         in_flight=notice.in_flight,
@@ -71,6 +71,9 @@
         limit_per_s=notice.limit_per_s,
         limit_wait_ms=notice.limit_wait_ms,
     )
+    if not report.is_finite:
+        raise msgspec.ValidationError("a number is not finite")
+    return report
 
 
 class LoadDatagrams:
--- a/src/pollenroad/proxy/records.py
+++ b/src/pollenroad/proxy/records.py
@@ -184,6 +184,12 @@
     return Record("server_slow", fields)
 
 
+def report_refused(report: LoadReport) -> Record:
+    """Return the record of a load report from which no cost can be computed."""
+    fields = (("endpoint", report.endpoint), ("slowdown", report.slowdown))
+    return Record("report_refused", (*fields, ("limit_per_s", report.limit_per_s)))
+
+
 def guard_state(report: LoadReport, before: str, reason: str, revision: int) -> Record:
     """Return the record of a change of the state that a guard reports."""
     fields = (
--- a/src/pollenroad/proxy/upstream.py
+++ b/src/pollenroad/proxy/upstream.py
@@ -35,6 +35,12 @@
 """Statuses from which a caller concludes that the request has not run. Without proof of it they are
 failures, and not forwarded."""
 
+MAX_DIGITS = 9
+"""Longest whole number in a field of a server."""
+
+MAX_LOAD_PARTS = 16
+"""Most commas at which a load header is split."""
+
 LEAVING_VALUE = "1"
 """Value of the field with which a server states that it leaves."""
 
@@ -232,11 +238,18 @@
 
     def _server_seen(self, reply: Reply, is_health: bool) -> ServerSeen:
         running, waiting, slowdown = parse_load(reply.header(self._dialect.load))
-        cold = reply.header(self._dialect.cold_ms)
-        cold_s = int(cold) / 1000 if cold.isdigit() else None
+        cold_ms = parse_whole(reply.header(self._dialect.cold_ms))
+        cold_s = None if cold_ms is None else cold_ms / 1000
         return ServerSeen(running, waiting, slowdown, cold_s, is_health)
 
 
+def parse_whole(text: str) -> int | None:
+    """Return the whole number in a field, or None if it is none or has over `MAX_DIGITS` digits."""
+    stripped = text.strip()
+    is_whole = stripped.isascii() and stripped.isdigit() and len(stripped) <= MAX_DIGITS
+    return int(stripped) if is_whole else None
+
+
 def parse_load(text: str) -> tuple[int, int, float]:
     """Parse a load header: running, waiting, slots and, if stated, slowdown in percent.
 
@@ -244,8 +257,8 @@
         Requests running, requests waiting, and the slowdown as a multiple of the usual time. A
         header that is missing or malformed gives 0, 0 and 1.0.
     """
-    parts = text.split(",")
-    if len(parts) < 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [parse_whole(part) for part in text.split(",", MAX_LOAD_PARTS)]
+    if len(parts) < 3 or None in parts:
         return 0, 0, 1.0
-    slowdown = int(parts[3]) / 100 if len(parts) > 3 else 1.0
-    return int(parts[0]), int(parts[1]), max(0.01, slowdown)
+    slowdown = parts[3] / 100 if len(parts) > 3 else 1.0
+    return parts[0], parts[1], max(0.01, slowdown)
