A server that stated that it leaves does so until it restarts

Callers' requests would reach a leaving server again: in the new test the guard takes an attempt 3 s after the statement, once one health response lacks it. No such case is known outside of tests.

Cause: the last response counted.

Fix: the statement holds until the server starts anew, like a registration that says the same.

Evidence: the test fails before (the attempt is not refused as leaving); 20 tests of test_server_limit and test_advertised pass, one of them that a new start ends it.

--- a/src/pollenroad/proxy/advertised.py
+++ b/src/pollenroad/proxy/advertised.py
@@ -71,9 +71,13 @@
             self.is_known = True
 
     def observe(self, limit: StatedLimit, is_leaving: bool) -> None:
-        """Apply the statements of an answer; an unreadable limit changes nothing."""
+        """Apply the statements of an answer; an unreadable limit changes nothing.
+
+        A server that leaves does so until it restarts. An answer without that statement may be
+        older than the one that had it, or a late copy of an earlier health response.
+        """
         self.is_known = True
-        self.is_leaving = is_leaving
+        self.is_leaving = self.is_leaving or is_leaving
         self.unreadable = ""
         match limit:
             case RateLimit(per_s):
--- a/src/pollenroad/proxy/server_status.py
+++ b/src/pollenroad/proxy/server_status.py
@@ -59,8 +59,8 @@
         advertised.observe(event.limit, event.is_leaving)
         if (advertised.limit_per_s, advertised.unreadable) != before:
             yield server_limit(advertised, before[0], source)
-        if event.is_leaving != was_leaving:
-            yield server_leaving(event.is_leaving, closed_reason, source)
+        if advertised.is_leaving != was_leaving:
+            yield server_leaving(advertised.is_leaving, closed_reason, source)
 
     def on_hint(self, attempt: Attempt) -> Iterator[Action]:
         """Apply the limit that an entry knows, until the server itself has answered this guard."""
--- a/tests/proxy/test_server_limit.py
+++ b/tests/proxy/test_server_limit.py
@@ -7,7 +7,12 @@
 from pollenroad.boundary import PeerReceived, RunAtServer, ServerAnswered, Tick
 from pollenroad.messages import AttemptAnswer, Response
 from pollenroad.proxy.advertised import RateLimit
-from pollenroad.proxy.boundary import CheckServer, ServerAdvertised, ServerSeen
+from pollenroad.proxy.boundary import (
+    CheckServer,
+    DirectoryChanged,
+    ServerAdvertised,
+    ServerSeen,
+)
 from pollenroad.proxy.endpoint_states import LEAVING, STARTING
 from pollenroad.proxy.guard import make_guard
 from pollenroad.proxy.refusals import AT_LIMIT, LIMITED, OVERLOADED
@@ -111,6 +116,25 @@
         (refusal,) = attempt_answers(send_attempt(guard, 1.0, number=2))
         self.assertEqual((refusal.verdict, refusal.reason), ("not-run", "leaving"))
 
+    # A late copy of a health response, or an answer that was written before, brought it back.
+    def test_an_answer_without_that_statement_does_not_take_it_back(self):
+        guard = guard_with(endpoint(1, born_ms=1))
+        guard.handle(ServerAdvertised("i-1", is_leaving=True), 1.0)
+        for is_health in (True, False, True):
+            guard.handle(ServerAdvertised("i-1", is_health=is_health), 4.0)
+            guard.handle(ServerSeen(is_health=is_health), 4.0)
+        (refusal,) = attempt_answers(send_attempt(guard, 4.0, number=2))
+        self.assertEqual((refusal.verdict, refusal.reason), ("not-run", "leaving"))
+
+    def test_a_new_start_of_the_server_does(self):
+        directory = directory_with(endpoint(1, born_ms=1))
+        guard = make_guard(endpoint(1).server, SERVICE, directory, 0.0)
+        guard.handle(ServerAdvertised("i-1", is_leaving=True), 1.0)
+        started = DirectoryChanged(20, (endpoint(1, born_ms=2, revision=20),), 10)
+        directory.handle(started, 4.0)
+        guard.handle(started, 4.0)
+        self.assertEqual(guard.closed_reason(), "")
+
 
 class EntryTest(unittest.TestCase):
     def test_a_leaving_server_is_not_selected_when_its_guard_has_restarted(self):
