An answer that breaks off in its head is no answer in the product's own interface

Reported by operators of other systems.

Cause: http.client, below urllib3, takes the end of the stream for the end of a head.

Fix: connections whose answers must have a complete head (pollenroad.strict_http), at the guard and in the Python client; a Content-Length must be a number.

The users' platform held: h11 refuses such heads, which test_reply_parser checks at each byte now and test_users_path on processes (fault cut-head).

Ruled out: replacing urllib3 at the guard by the h11 client of pollenroad.proxy, a larger change of an interface that has no such report.

--- a/src/pollenroad/client.py
+++ b/src/pollenroad/client.py
@@ -16,6 +16,7 @@
 from pollenroad import headers
 from pollenroad.addresses import split_address
 from pollenroad.exceptions import CallError
+from pollenroad.strict_http import StrictConnectionPool
 from pollenroad.verdicts import Verdict, is_retry_safe
 
 DEFAULT_DEADLINE_S = 1.0
@@ -131,8 +132,7 @@
         self._deadline_s = deadline_s
         self._max_tries = max_tries
         self._pool_by_entry = {
-            entry: urllib3.HTTPConnectionPool(*split_address(entry), maxsize=64)
-            for entry in entries
+            entry: StrictConnectionPool(*split_address(entry), maxsize=64) for entry in entries
         }
         self._avoid_until_by_entry: dict[str, float] = {}
         self._rng = random.Random()
--- a/src/pollenroad/shell/upstream.py
+++ b/src/pollenroad/shell/upstream.py
@@ -25,6 +25,7 @@
 from pollenroad.guard.coldstart import SERVER_RESET, SERVER_UNREACHABLE
 from pollenroad.logs import log
 from pollenroad.messages import Attempt, Response
+from pollenroad.strict_http import StrictConnection
 
 CONNECT_TIMEOUT_S = 0.25
 """Timeout for opening a connection to the server, in seconds."""
@@ -54,9 +55,10 @@
 def _check_framing(method: str, answer: urllib3.HTTPResponse) -> None:
     if method == "HEAD" or answer.status in BODILESS_STATUSES:
         return
-    if "content-length" in answer.headers or answer.chunked:
+    length = answer.headers.get("content-length", "")
+    if answer.chunked or (length.isascii() and length.isdigit()):
         return
-    raise _UnframedError("response has neither Content-Length nor chunked transfer coding")
+    raise _UnframedError("response has neither a valid Content-Length nor chunked transfer coding")
 
 
 def _is_dropped(connection: HTTPConnection) -> bool:
@@ -70,7 +72,7 @@
     return True
 
 
-class _Connection(HTTPConnection):
+class _Connection(StrictConnection):
     """Connection that sends header block and body in one segment, so the server wakes up once."""
 
     _write_buffer: list[bytes] | None = None
--- a/tests/proxy/test_reply_parser.py
+++ b/tests/proxy/test_reply_parser.py
@@ -20,6 +20,12 @@
     + b"Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nwhole\r\n7\r\n answer\r\n0\r\nX-T: v\r\n\r\n"
 )
 UNFRAMED = HEAD + b"Connection: close\r\n\r\nwhole answer"
+BODILESS = (
+    HEAD + b"Content-Length: 0\r\n\r\n",
+    b"HTTP/1.1 204 No Content\r\nX-Response-Signature: s\r\n\r\n",
+    b"HTTP/1.0 200 OK\r\nX-Response-Signature: s\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"Content-Length: 0\r\n\r\n",
+)
 TIMEOUT_S = 5.0
 
 
@@ -49,6 +55,14 @@
                 with self.subTest(data=data[:length]):
                     self.assertRaises((ExchangeError, h11.ProtocolError), parse, data[:length])
 
+    # A report of other operators: a server stopped in a head, and callers got a 200 without a body.
+    def test_a_head_cut_at_any_byte_is_no_answer(self):
+        for data in BODILESS:
+            self.assertEqual(parse(data).body, b"")
+            for length in range(1, len(data)):
+                with self.subTest(data=data[:length]):
+                    self.assertRaises((ExchangeError, h11.ProtocolError), parse, data[:length])
+
     def test_an_answer_without_a_length_ends_with_its_connection_but_not_before_its_body(self):
         end_of_head = UNFRAMED.index(b"\r\n\r\n") + 4
         for length in range(1, end_of_head):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -50,6 +50,13 @@
     def test_complete_answer_is_returned(self):
         self.assertEqual(self.call([RAN]), (Verdict.RAN, 1))
 
+    # http.client takes the end of the stream for the end of the head: a 200 without its body.
+    def test_answer_that_is_cut_at_any_byte_is_unknown(self):
+        for whole in (RAN, LEAVING):
+            for length in range(1, len(whole)):
+                with self.subTest(answer=whole[:length]):
+                    self.assertEqual(self.call([whole[:length]]), (Verdict.UNKNOWN, 1))
+
     def test_leaving_or_unreachable_entry_is_skipped(self):
         reply = Client(
             [self.start_entry(LEAVING), self.unused_address(), self.start_entry(RAN)]
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -20,6 +20,7 @@
 class UpstreamTest(unittest.TestCase):
     def setUp(self):
         self.answers = []
+        self.cut = False
         self.connections = 0
         self.closed = AsyncResult()
         self.server = StreamServer(("127.0.0.1", 0), self._serve)
@@ -43,7 +44,7 @@
             if answer is None:
                 continue
             sock.sendall(answer)
-            if answer in (TRUNCATED, UNFRAMED):
+            if self.cut or answer in (TRUNCATED, UNFRAMED):
                 break
         sock.close()
         self.closed.set(True)
@@ -71,6 +72,22 @@
                 self.assertIsInstance(event, ServerFailed)
                 self.assertTrue(event.reached)
 
+    # http.client takes the end of the stream for the end of the head: a 200 without its body.
+    def test_an_answer_that_is_cut_at_any_byte_may_have_run(self):
+        for whole in (COMPLETE, SHED):
+            for length in range(1, len(whole)):
+                with self.subTest(answer=whole[:length]):
+                    self.answers, self.cut = [whole[:length]], True
+                    event = self.run_attempt()
+                    self.assertIsInstance(event, ServerFailed)
+                    self.assertTrue(event.reached)
+
+    def test_an_answer_with_a_length_that_is_no_number_may_have_run(self):
+        for length in (b"", b"x", b"-1", b"\xb2"):
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: " + length + b"\r\n\r\n"
+            self.answers, self.cut = [answer], True
+            self.assertIsInstance(self.run_attempt(), ServerFailed, length)
+
     def test_a_connection_with_surplus_bytes_is_not_reused(self):
         self.answers = [COMPLETE, COMPLETE]
         self.run_attempt()
--- a/tests/users/server.py
+++ b/tests/users/server.py
@@ -20,9 +20,9 @@
     """A server on a loopback address that registers itself in the store.
 
     Attributes:
-        fault: Empty, or the fault of its answers: `cut`, `extra`, `unsigned`, `other`, `encoded`,
-            `refuse` (503 that does not state that the request has not run), `shed` (503 that
-            states it), `error` (500), `reset`, `silent`, `unframed`, `endless` (informational
+        fault: Empty, or the fault of its answers: `cut`, `cut-head`, `extra`, `unsigned`, `other`,
+            `encoded`, `refuse` (503 that does not state that the request has not run), `shed` (503
+            that states it), `error` (500), `reset`, `silent`, `unframed`, `endless` (informational
             answers until the connection is closed), `late-copy` (each answer once more when the
             next request has arrived).
         service_s: Service time in seconds, at a slowness of 100.
@@ -112,7 +112,7 @@
                 return
             handler.wfile.write(answer)
             previous = answer
-            if self.fault in ("cut", "unframed") and path != "/healthz":
+            if self.fault in ("cut", "cut-head", "unframed") and path != "/healthz":
                 return
 
     def _health(self) -> bytes:
@@ -148,6 +148,8 @@
         match self.fault:
             case "cut":
                 return whole[:-3]
+            case "cut-head":
+                return whole[: whole.index(b"\r\n\r\n") - 1]
             case "extra":
                 return whole + answer_bytes(200, fields, b"again")
             case "unsigned":
--- a/tests/users/test_users_path.py
+++ b/tests/users/test_users_path.py
@@ -52,7 +52,7 @@
         self.assertEqual(self.fleet.request(self.fleet.hosts[0], "/none/", self._id())[0], 404)
 
     def test_invalid_answers_are_not_passed_on_as_a_success(self):
-        for fault in ("cut", "unsigned", "encoded", "reset", "refuse"):
+        for fault in ("cut", "cut-head", "unsigned", "encoded", "reset", "refuse"):
             with self.subTest(fault=fault):
                 self._set_fault(fault)
                 attempt = self._id()
