That a server's restriction has ended is confirmed on a new connection

Callers' requests would reach a server beyond its limit, or a cold one without its pace, for up to 0.45 s behind a late copy of a health response from before. In the new test one such copy ends all three restrictions; no case is known outside of tests.

Cause: health responses repeat no id, and a kept connection can carry a copy of any earlier one.

Fix: a response that lacks a restriction which the last one stated is asked for again on a new connection. That costs one connection and one check for each cold period, limit or leaving that ends.

Evidence: the test fails before for each of the three fields, and passes now (6 of 6 in test_upstream_copies).

--- a/src/pollenroad/proxy/upstream.py
+++ b/src/pollenroad/proxy/upstream.py
@@ -63,6 +63,8 @@
         self._post = post
         self._pool = ConnectionPool(server)
         self._health_connection: ClientConnection | None = None
+        self._last_restrictions: frozenset[str] = frozenset()
+        """Restrictions that the last health response stated."""
         self._task_by_attempt: dict[str, gevent.Greenlet] = {}
         self._advertised = False
         """Whether the last answer stated a limit, or that the server leaves."""
@@ -185,6 +187,7 @@
         try:
             with gevent.Timeout(timeout_s):
                 reply = self._exchange_health(path)
+            self._last_restrictions = self._restrictions(reply)
             self._post_advertised(reply, reply.header(self._dialect.incarnation), is_health=True)
             event = self._server_seen(reply, is_health=True)
         except gevent.Timeout:
@@ -199,15 +202,21 @@
     def _exchange_health(self, path: str) -> Reply:
         """Ask for the server's health, on a connection of its own.
 
-        Health responses carry no id of a request, so that one could not be told from a late copy of
-        an answer; and a server that is full may leave a connection without any further answer.
+        A server that is full may leave a connection without any further answer. Health responses
+        carry no id of a request, so that one cannot be told from a late copy of an earlier one;
+        that a restriction has ended is therefore confirmed on a new connection.
         """
-        connection = self._health_connection
-        self._health_connection = None
-        if connection is None or not connection.is_reusable():
-            if connection is not None:
-                connection.close()
-            connection = ClientConnection(self.server, CONNECT_TIMEOUT_S)
+        kept, self._health_connection = self._health_connection, None
+        if kept is not None and kept.is_reusable():
+            reply = self._ask_health(kept, path)
+            if self._last_restrictions <= self._restrictions(reply):
+                return reply
+            self._close_health_connection()
+        elif kept is not None:
+            kept.close()
+        return self._ask_health(ClientConnection(self.server, CONNECT_TIMEOUT_S), path)
+
+    def _ask_health(self, connection: ClientConnection, path: str) -> Reply:
         reply = None
         try:
             reply = connection.exchange("GET", path, [("Host", self.server)])
@@ -218,6 +227,13 @@
                 connection.close()
         return reply
 
+    def _restrictions(self, reply: Reply) -> frozenset[str]:
+        """Return which fields of a response restrict the requests that the server takes."""
+        dialect = self._dialect
+        is_cold = bool(parse_whole(reply.header(dialect.cold_ms)))
+        stated = {name for name in (dialect.limit, dialect.leaving) if reply.header(name)}
+        return frozenset(stated | ({dialect.cold_ms} if is_cold else set()))
+
     def _close_health_connection(self) -> None:
         if self._health_connection is not None:
             self._health_connection.close()
--- a/tests/proxy/test_upstream_copies.py
+++ b/tests/proxy/test_upstream_copies.py
@@ -8,6 +8,8 @@
 
 from pollenroad.boundary import ServerAnswered, ServerFailed, ServerShed
 from pollenroad.messages import Request
+from pollenroad.proxy.advertised import UNLIMITED
+from pollenroad.proxy.boundary import ServerAdvertised, ServerSeen
 from pollenroad.proxy.connection_pool import MAX_CARRIED_REQUESTS
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.proxy.upstream import Upstream
@@ -129,5 +131,61 @@
         self.assertEqual(self.server.connections, 2)
 
 
+RESTRICTIONS = {DIALECT.cold_ms: "900", DIALECT.limit: "5", DIALECT.leaving: "1"}
+
+
+class HealthCopyTest(unittest.TestCase):
+    def setUp(self):
+        self.answers: list[bytes] = []
+        self.connections = 0
+        self.seen = AsyncResult()
+        self.advertised: list[ServerAdvertised] = []
+        server = StreamServer(("127.0.0.1", 0), self._serve)
+        server.start()
+        self.addCleanup(server.stop)
+        self.upstream = Upstream(f"127.0.0.1:{server.server_port}", DIALECT, self._post)
+        self.addCleanup(lambda: self.upstream.set_server("127.0.0.1:1"))
+
+    def _serve(self, sock, _remote):
+        self.connections += 1
+        with sock, sock.makefile("rb") as stream:
+            while read_message(stream) is not None:
+                sock.sendall(self.answers.pop(0))
+
+    def _post(self, event):
+        match event:
+            case ServerAdvertised():
+                self.advertised.append(event)
+            case ServerSeen():
+                self.seen.set(event)
+
+    def _check(self, *answers: dict[str, str]) -> ServerSeen:
+        """Check the health, with these answers in the order in which the server writes them."""
+        self.seen = AsyncResult()
+        self.answers = [answer_bytes(200, fields, b"") for fields in answers]
+        self.upstream.check("/healthz", TIMEOUT_S)
+        with gevent.Timeout(TIMEOUT_S):
+            return self.seen.get()
+
+    # A late copy of a response from before ended the limit or the cold period of its server.
+    def test_the_end_of_a_restriction_is_confirmed_on_a_new_connection(self):
+        for name, value in RESTRICTIONS.items():
+            with self.subTest(name=name):
+                fields = {name: value}
+                self._check({})
+                self._check(fields)
+                self.advertised.clear()
+                self.connections = 0
+                seen = self._check({}, fields)  # The first of these is the copy.
+                self.assertEqual((seen.cold_s or 0) > 0, name == DIALECT.cold_ms)
+                if name != DIALECT.cold_ms:
+                    self.assertEqual(self.advertised[-1].limit == UNLIMITED, name != DIALECT.limit)
+                    self.assertEqual(self.advertised[-1].is_leaving, name == DIALECT.leaving)
+                self.assertEqual(self.connections, 1)
+                self._check({}, {})
+                self._check({})
+                self.assertEqual(self.connections, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
