Unexpected errors leave no caller without an answer and no watcher trusted

Found by looking for tasks and events without an owner.

Cause: an error in the entry ended its event before any timer was set. An error of an expired timer came first with each event, and each event was lost behind it. A reader of the platform that failed by an unexpected error was started again every 0.1 s, and counted as reading, so that the daemons of its failure domain relied on it. A duration of 1e308 s became infinite in milliseconds.

--- a/src/pollenroad/proxy/caller_connection.py
+++ b/src/pollenroad/proxy/caller_connection.py
@@ -84,6 +84,8 @@
             self._read_requests()
         except (OSError, gevent.Timeout) as error:
             log("caller_lost", reason=f"{type(error).__name__}: {error}", open=len(self._exchanges))
+        except Exception as error:
+            log("internal_error", where="requests of a caller", reason=repr(error))
         finally:
             self._is_ending = True
             self._abandon()
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -92,12 +92,16 @@
         Expired timers are handled first, so that a process that was paused acts on an answer or
         attempt only after it has noticed which time limits passed during the pause.
         """
+        actions = self.dispatch(Tick(), now) if self.is_late_for(event, now) else []
+        return actions + self.dispatch(event, now)
+
+    def is_late_for(self, event: Event, now: float) -> bool:
+        """Return whether timers have expired that an event must not overtake."""
         due = self.next_due()
-        is_late = due is not None and due <= now and not isinstance(event, Tick)
-        actions = self._dispatch(Tick(), now) if is_late else []
-        return actions + self._dispatch(event, now)
+        return due is not None and due <= now and not isinstance(event, Tick)
 
-    def _dispatch(self, event: Event, now: float) -> list[Action]:
+    def dispatch(self, event: Event, now: float) -> list[Action]:
+        """Pass one event to the core that handles it; return the actions that follow."""
         match event:
             case DirectoryRead() | DirectoryChanged() | DirectoryLost():
                 return [*self._update_directory(event, now), *self.relay.on_read(event, now)]
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -17,6 +17,7 @@
     RunAtServer,
     SendPeer,
     StopRequested,
+    Tick,
 )
 from pollenroad.exceptions import ConfigurationError
 from pollenroad.logs import LOGGER, log
@@ -26,6 +27,7 @@
     DrainExpired,
     EntryLost,
     Event,
+    RequestArrived,
     TellLoad,
     WatchDirectory,
 )
@@ -138,7 +140,21 @@
     # --- Events and actions ---
 
     def _handle(self, event: Event) -> None:
-        for action in self.cores.handle(event, time.monotonic()):
+        """Handle one event; an unexpected error of the expired timers does not keep it back."""
+        now = time.monotonic()
+        if self.cores.is_late_for(event, now):
+            perform_logged(lambda tick: self._dispatch(tick, now), Tick())
+        self._dispatch(event, now)
+
+    def _dispatch(self, event: Event, now: float) -> None:
+        try:
+            actions = self.cores.dispatch(event, now)
+        except Exception:
+            if isinstance(event, RequestArrived):
+                answer = AnswerCall(event.call_id, Verdict.UNKNOWN, "internal-error")
+                self.callers.answer(answer)
+            raise
+        for action in actions:
             perform_logged(self._perform, action)
 
     def _perform(self, action: Action) -> None:
--- a/src/pollenroad/proxy/directory_reader.py
+++ b/src/pollenroad/proxy/directory_reader.py
@@ -14,6 +14,7 @@
 from gevent.event import Event as Flag
 
 from pollenroad.exceptions import ExchangeError, HistoryLost, PlatformError
+from pollenroad.logs import log
 from pollenroad.proxy.boundary import (
     DirectoryChanged,
     DirectoryEvent,
@@ -231,6 +232,10 @@
                 raise
             except (PlatformError, ExchangeError) as error:
                 self._report_failure(error)
+            except Exception as error:
+                # A watcher that cannot read must not count as one that does.
+                log("internal_error", where="platform reader", reason=repr(error))
+                self._report_failure(error)
             gevent.sleep(pause_s * random.uniform(0.7, 1.3))
             pause_s = min(RETRY_MAX_S, 2 * pause_s)
 
--- a/src/pollenroad/proxy/settings.py
+++ b/src/pollenroad/proxy/settings.py
@@ -12,6 +12,9 @@
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 
+MAX_DURATION = 1e9
+"""Largest number in a duration, in its unit."""
+
 Duration = Annotated[str, Meta(pattern=r"^\d+(\.\d+)?(ms|s)$")]
 """A number with its unit, such as `1500ms` or `2.5s`."""
 
@@ -59,11 +62,11 @@
     """Return a duration such as `1500ms` or `2.5s` in seconds.
 
     Raises:
-        ValueError: If it is not a finite number with the unit `ms` or `s`.
+        ValueError: If it is not a number with the unit `ms` or `s`, or over `MAX_DURATION`.
     """
     match = _DURATION.fullmatch(duration)
     value = float(match[1]) if match else math.inf
-    if not math.isfinite(value):
+    if value > MAX_DURATION:
         raise ValueError(f"{duration[:64]!r} is not a duration such as 1500ms or 2.5s")
     return value / (1000 if match[2] == "ms" else 1)
 
