test_directory_reader: the loss is reported for the first read, which is what fails

It checks the first event now; that fails before the fix (DirectoryRead instead of DirectoryLost) and passes after it.

--- a/tests/proxy/test_directory_reader.py
+++ b/tests/proxy/test_directory_reader.py
@@ -116,11 +116,10 @@
     # It counted as reading the platform meanwhile, and its failure domain relied on it.
     def test_a_reader_that_fails_by_an_unexpected_error_has_lost_the_platform(self):
         self.platform.is_deaf = False
-        self.platform.errors = [ValueError("of a long poll")]
+        self.platform.errors = [ValueError("of the first read")]
         self.reader.start()
-        self.reader.watch(True)
-        self._await(lambda: not self.platform.errors and len(self.events) > 1)
-        self.assertIsInstance(self.events[1], DirectoryLost)
+        self._await(lambda: self.events)
+        self.assertIsInstance(self.events[0], DirectoryLost)
 
     def test_a_watch_that_a_restored_platform_answers_leads_to_a_complete_read(self):
         self.platform.epoch = 1
