--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -94,19 +94,22 @@
         if answer.reason == LIMITED:
             self.refused_wait_s = min(self.refused_wait_s, view.limit_wait_s(now))
 
-    def refused(self, reason: str, endpoint: str) -> None:
-        """Count a refusal by an endpoint; after a pushback the endpoint may be selected again."""
+    def refused(self, reason: str, endpoint: str, reached_server: bool) -> None:
+        """Count a refusal by an endpoint; after a pushback the endpoint may be selected again.
+
+        Args:
+            reason: Reason code.
+            endpoint: Incarnation; empty if the request was not sent.
+            reached_server: Whether the server, not its guard, refused the request.
+        """
+        if reached_server and not self.route.idempotent:
+            self.refused_by_server.add(endpoint)
         if reason in PUSHBACK_REASONS:
             self.pushbacks += 1
             self.tried.discard(endpoint)
         else:
             self.refusals += 1
 
-    def server_refused(self, endpoint: str) -> None:
-        """Record that the server of an endpoint, not its guard, refused this request."""
-        if not self.route.idempotent:
-            self.refused_by_server.add(endpoint)
-
     def forget_tried(self) -> None:
         """Allow another attempt at the endpoints that were tried, as far as that is safe."""
         self.tried = set(self.refused_by_server)
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -39,13 +39,8 @@
 )
 from pollenroad.proxy.directory import Directory
 from pollenroad.proxy.fleet import EndpointView
-from pollenroad.proxy.records import (
-    attempt_ended,
-    attempt_sent,
-    call_answered,
-    report_refused,
-    server_slow,
-)
+from pollenroad.proxy.load_learning import learn_from_answer, learn_from_datagram
+from pollenroad.proxy.records import attempt_ended, attempt_sent, call_answered
 from pollenroad.proxy.refusals import LIMITED
 from pollenroad.proxy.routes import Splitter
 from pollenroad.proxy.selection import EndpointSelector
@@ -100,10 +95,8 @@
                     yield from self._on_request(self._pop_unrouted(call_id), now)
             case PeerReceived(_, AttemptAnswer() as answer):
                 yield from self._on_answer(answer, now)
-            case LoadHeard(_, report) if not report.is_finite:
-                yield report_refused(report)
-            case LoadHeard(_, report) if self.fleet.learn(report, now):
-                yield server_slow(report)
+            case LoadHeard(_, report):
+                yield from learn_from_datagram(self.fleet, report, now)
             case CallAbandoned(call_id):
                 yield from self._abandon(call_id, now)
             case AttemptUnsent(attempt_id):
@@ -155,8 +148,7 @@
         view.own_in_flight += 1
         view.sent_since_report += 1
         self._schedule_hedge_check(call, view, now)
-        revision = self._directory.revision
-        yield attempt_sent(call.arrived, message, view, role, cost_s, revision, now)
+        yield attempt_sent(call.arrived, message, view, role, cost_s, self._directory.revision, now)
         yield SendPeer(view.endpoint.guard, message)
 
     def _defer(self, call: OpenCall, now: float) -> Iterator[Action]:
@@ -187,10 +179,8 @@
             return
         call, attempt = closed
         verdict = Verdict(answer.verdict)
-        if answer.load is not None and answer.load.is_finite:
-            attempt.view.learn(answer.load, now)
-        elif answer.load is not None:
-            yield report_refused(answer.load)
+        if answer.load is not None:
+            yield from learn_from_answer(attempt.view, answer.load, now)
         yield attempt_ended(call, answer.attempt_id, attempt, verdict, answer.reason, now)
         match verdict:
             case Verdict.RAN:
@@ -221,9 +211,8 @@
     def _on_not_run(
         self, call: OpenCall, endpoint: str, reason: str, reached_server: bool, now: float
     ) -> Iterator[Action]:
-        call.refused(reason, endpoint)
+        call.refused(reason, endpoint, reached_server)
         if reached_server:
-            call.server_refused(endpoint)
             yield from self._retry_or_finish(call, Verdict.NOT_RUN, reason, now)
             return
         call.attempts -= 1
--- a/src/pollenroad/shell/peers.py
+++ b/src/pollenroad/shell/peers.py
@@ -1,4 +1,4 @@
-"""Links between daemons: TCP connections that carry frames, each with its own tasks.
+"""All links of one daemon: dialling, accepting, and which of them carries a message.
 
 A daemon dials a peer to send attempts to it; the answers arrive over the same link. When a dialled
 link breaks, `AttemptUnsent` is posted for each attempt that was not sent, and then `PeerLost`:
@@ -6,15 +6,11 @@
 """
 
 import os
-import socket
-import time
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
 import msgspec
-from gevent.event import Event as Flag
 from gevent.server import StreamServer
 
 from pollenroad.addresses import host_of, split_address
@@ -33,16 +29,9 @@
     RelayMessage,
 )
 from pollenroad.shell.control_cost import CostMeter, make_cost_meter
-from pollenroad.shell.frames import (
-    COMPRESSED_PROTOCOL,
-    LENGTH_PREFIX_BYTES,
-    decode_message,
-    encode_frame,
-    read_body,
-    read_message,
-)
+from pollenroad.shell.frames import encode_frame, read_message
+from pollenroad.shell.peer_link import PeerLink
 from pollenroad.shell.sockets import set_liveness_options
-from pollenroad.shell.tasks import TurnCounter
 from pollenroad.verdicts import Verdict
 
 DIAL_TIMEOUT_S = 0.5
@@ -50,10 +39,6 @@
 HELLO_MAX_BYTES = 4096
 NONCE_BYTES = 16
 """Length of a challenge in bytes."""
-MAX_OUTBOX_BYTES = 33_554_432
-"""Number of bytes queued for one peer above which its link is closed."""
-MAX_NONBLOCKING_BYTES = 65_536
-"""Longest frame that is written without a task switch, in bytes."""
 MAX_INBOUND_LINKS = 12_000
 UNSENDABLE = "unsendable"
 """Reason code of an attempt that cannot be encoded."""
@@ -87,115 +72,6 @@
     return hmac.compare_digest(proof, _proof(key, nonce, address))
 
 
-class _Link:
-    """One open connection, with a queue of outgoing frames, a writer task and a reader task."""
-
-    def __init__(self, sock, stream, hello: Hello, on_closed: Callable, meter: CostMeter):
-        self.peer = hello.address
-        self.end_error: OSError | None = None
-        """Error that ended the link; None if it was closed."""
-        self._uses_compression = hello.protocol >= COMPRESSED_PROTOCOL
-        self._meter = meter
-        self._sock = sock
-        self._stream = stream
-        self._on_closed = on_closed
-        self._outbox = deque()
-        self._outbox_bytes = 0
-        self._wake = Flag()
-        self._closed = False
-        self._writing = False
-        self._unwritten = b""
-        self._writer = gevent.spawn(self._write)
-
-    def send(self, message: PeerMessage) -> None:
-        """Queue one message.
-
-        Raises:
-            PeerError: If it cannot be encoded; the link is not affected.
-        """
-        if self._closed:
-            self._on_closed(self, [message])
-            return
-        frame = encode_frame(message, self._uses_compression)
-        self._meter.sent(message, len(frame))
-        if not self._outbox and self._send_nonblocking(frame):
-            return
-        self._outbox.append((message, frame))
-        self._outbox_bytes += len(frame)
-        if self._outbox_bytes > MAX_OUTBOX_BYTES:
-            self.close()
-        self._wake.set()
-
-    def _send_nonblocking(self, frame: bytes) -> bool:
-        """Send a frame without a task switch; return False if nothing was sent.
-
-        The rest of a frame that the socket accepts only in part is left to the writer task.
-        """
-        if self._writing or len(frame) > MAX_NONBLOCKING_BYTES:
-            return False
-        try:
-            sent = self._sock._sock.send(frame, socket.MSG_DONTWAIT)
-        except OSError:
-            return False
-        if sent < len(frame):
-            self._unwritten = frame[sent:]
-            self._writing = True
-            self._wake.set()
-        return True
-
-    def _write(self) -> None:
-        try:
-            while not self._closed:
-                if self._unwritten:
-                    self._sock.sendall(self._unwritten)
-                    self._unwritten = b""
-                    self._writing = False
-                elif self._outbox:
-                    self._write_next()
-                else:
-                    self._wake.clear()
-                    self._wake.wait()
-        except OSError as error:
-            self.end_error = error
-        finally:
-            self.close()
-
-    def _write_next(self) -> None:
-        _, frame = self._outbox.popleft()
-        self._outbox_bytes -= len(frame)
-        self._writing = True
-        self._sock.sendall(frame)
-        self._writing = False
-
-    def read(self, on_message: Callable[[PeerMessage], None]) -> None:
-        """Pass each received message to `on_message` until the link ends."""
-        try:
-            turns = TurnCounter()
-            while not self._closed and (body := read_body(self._stream)) is not None:
-                on_message(self._decode(body))
-                turns.step()
-        except PeerError as error:
-            log("peer_refused", peer=self.peer, reason=str(error))
-        except OSError as error:
-            self.end_error = error
-        finally:
-            self.close()
-
-    def _decode(self, body: bytes) -> PeerMessage:
-        start = time.thread_time()
-        message = decode_message(body)
-        self._meter.received(message, len(body) + LENGTH_PREFIX_BYTES, time.thread_time() - start)
-        return message
-
-    def close(self) -> None:
-        if self._closed:
-            return
-        self._closed = True
-        self._wake.set()
-        self._sock.close()
-        self._on_closed(self, [message for message, _ in self._outbox])
-
-
 class Peers:
     """All links of one daemon.
 
@@ -220,8 +96,8 @@
         self._identity = identity
         self._post = post
         self._is_member = is_member
-        self._dialled_by_peer: dict[str, _Link] = {}
-        self._accepted_by_peer: dict[str, _Link] = {}
+        self._dialled_by_peer: dict[str, PeerLink] = {}
+        self._accepted_by_peer: dict[str, PeerLink] = {}
         self._pending_by_peer: dict[str, list[PeerMessage]] = {}
         self.cut_peers: frozenset[str] = frozenset()
         """Peers to which nothing is sent, to simulate a network partition."""
@@ -258,7 +134,7 @@
             self._pending_by_peer[peer] = [message]
             gevent.spawn(self._dial, peer)
 
-    def _find_link(self, peer: str, message: PeerMessage) -> _Link | None:
+    def _find_link(self, peer: str, message: PeerMessage) -> PeerLink | None:
         match message:
             case AttemptAnswer() | LoadReport() | Leaving() | LimitGrant():
                 return self._accepted_by_peer.get(peer) or self._dialled_by_peer.get(peer)
@@ -267,7 +143,7 @@
             case _:
                 return self._dialled_by_peer.get(peer)
 
-    def _send_on(self, link: _Link, message: PeerMessage) -> None:
+    def _send_on(self, link: PeerLink, message: PeerMessage) -> None:
         """Send one message; an attempt that cannot be encoded is answered as not run."""
         try:
             link.send(message)
@@ -292,7 +168,7 @@
         log("peer_connected", peer=peer)
         link.read(lambda message: self._post(PeerReceived(peer, message)))
 
-    def _connect(self, peer: str) -> _Link:
+    def _connect(self, peer: str) -> PeerLink:
         source = (host_of(self._identity.address), 0)
         sock = gevent.socket.create_connection(split_address(peer), DIAL_TIMEOUT_S, source)
         try:
@@ -308,14 +184,14 @@
             sock.close()
             raise
         acceptor = msgspec.structs.replace(challenge, address=peer)
-        return _Link(sock, stream, acceptor, self._on_dialled_closed, self._meter)
+        return PeerLink(sock, stream, acceptor, self._on_dialled_closed, self._meter)
 
     def _hello(self, nonce: str) -> Hello:
         me = self._identity
         proof = _proof(me.key, nonce, me.address)
         return Hello(PROTOCOL_VERSION, me.vm, me.address, me.incarnation, me.failure_domain, proof)
 
-    def _on_dialled_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
+    def _on_dialled_closed(self, link: PeerLink, unsent: list[PeerMessage]) -> None:
         if self._dialled_by_peer.get(link.peer) is link:
             del self._dialled_by_peer[link.peer]
         log("peer_lost", peer=link.peer, reason=str(link.end_error or "closed"))
@@ -341,7 +217,7 @@
             log("peer_refused", peer=f"{remote[0]}:{remote[1]}", reason=str(error))
             sock.close()
             return
-        link = _Link(sock, stream, hello, self._on_accepted_closed, self._meter)
+        link = PeerLink(sock, stream, hello, self._on_accepted_closed, self._meter)
         self._accepted_by_peer[hello.address] = link
         link.read(lambda message: self._post(PeerReceived(hello.address, message)))
 
@@ -362,7 +238,7 @@
             raise PeerError(f"{hello.address} is not a known member")
         return hello
 
-    def _on_accepted_closed(self, link: _Link, unsent: list[PeerMessage]) -> None:
+    def _on_accepted_closed(self, link: PeerLink, unsent: list[PeerMessage]) -> None:
         if self._accepted_by_peer.get(link.peer) is link:
             del self._accepted_by_peer[link.peer]
             log("entry_lost", peer=link.peer, reason=str(link.end_error or "closed"))
