--- a/tests/users/server.py
+++ b/tests/users/server.py
@@ -24,7 +24,8 @@
             `encoded`, `refuse` (503 that does not state that the request has not run), `shed` (503
             that states it), `error` (500), `reset`, `silent`, `unframed`, `endless` (informational
             answers until the connection is closed), `late-copy` (each answer once more when the
-            next request has arrived).
+            next request has arrived), `shed-copy` (the same, and every other request is refused
+            with its id, as not run).
         service_s: Service time in seconds, at a slowness of 100.
         slowness: Factor on the service time, in percent.
         statements: Fields that every answer states about the server, such as `Server-Limit`.
@@ -53,9 +54,11 @@
         self.callers: set[str] = set()
         self.incomplete_requests: list[str] = []
         self.is_draining = False
+        self.born = 1
         self._store = store
         self._service, self._failure_domain = service, failure_domain
         self._running = 0
+        self._requests = 0
         self._lock = threading.Lock()
         self.id = f"i-{host.replace('.', '-')}-{port}-{time.monotonic_ns()}"
         self.address = published_address or f"{host}:{port}"
@@ -75,7 +78,11 @@
     def register(self, state: str = "ready", cold_ms: int = 0) -> None:
         """Write the registration of this server to the store."""
         self.is_draining = state == "draining"
-        entry = {
+        self._store.put(f"servers/{self.id}", self.entry(state, cold_ms))
+
+    def entry(self, state: str = "ready", cold_ms: int = 0) -> dict:
+        """Return the registration of this server."""
+        return {
             "service": self._service,
             "addr": self.address,
             "zone": self._failure_domain,
@@ -84,9 +91,14 @@
             "state": state,
             "cold_left": f"{cold_ms}ms",
             "seq": 1,
-            "born": 1,
+            "born": self.born,
         }
-        self._store.put(f"servers/{self.id}", entry)
+
+    def restart(self) -> None:
+        """Start again under the same id: what it had stated of itself no longer holds."""
+        self.born += 1
+        self.statements = {}
+        self.register()
 
     def deregister(self) -> None:
         """Remove the registration, as when its lease expires."""
@@ -101,7 +113,7 @@
         previous = b""
         while (message := read_message(handler.rfile)) is not None:
             first, headers, body = message
-            if self.fault == "late-copy":
+            if self.fault in ("late-copy", "shed-copy"):
                 handler.wfile.write(previous)
             method, path, _ = first.split()
             if path == "/healthz":
@@ -134,13 +146,20 @@
         if self.fault == "shed" or attempt in self.shed_ids:
             return answer_bytes(503, {"X-Not-Executed": "1"}, b"")
         with self._lock:
+            self._requests += 1
+            if self.fault == "shed-copy" and self._requests % 2:
+                return answer_bytes(503, {"X-Not-Executed": "1", "X-Attempt-Id": attempt}, b"")
             self._running += 1
             self.runs[attempt] += 1
             self.arrived_at.append(time.monotonic())
         time.sleep(self.service_s * self.slowness / 100)
         with self._lock:
             self._running -= 1
-        return self._answer(handler, attempt, f"{method} {path} {len(body)}".encode())
+        answer = self._answer(handler, attempt, f"{method} {path} {len(body)}".encode())
+        if answer and "x-note" in headers:
+            note = f"\r\nX-Note: {headers['x-note']}\r\n".encode("latin-1")
+            return answer.replace(b"\r\n", note, 1)
+        return answer
 
     def _answer(self, handler, attempt: str, body: bytes) -> bytes | None:
         fields = self._load() | {"X-Attempt-Id": attempt, "X-Response-Signature": f"sig.{attempt}"}
--- a/tests/users/soak.py
+++ b/tests/users/soak.py
@@ -33,14 +33,24 @@
 CLIENTS = 8
 
 SERVER_FAULTS = (
-    "cut", "extra", "unsigned", "encoded", "refuse", "shed", "error", "reset", "endless",
-    "late-copy", "",
+    "cut", "cut-head", "extra", "unsigned", "encoded", "refuse", "shed", "error", "reset",
+    "endless", "late-copy", "shed-copy", "",
 )  # fmt: skip
 STATEMENTS = (
     {}, {}, {"Server-Limit": "0"}, {"Server-Limit": "6.5"}, {"Server-Limit": "many"},
     {"Server-Leaving": "1"},
 )  # fmt: skip
 
+NOTES = ("plain", "Zo\u00e9", "\u00ff\u0080")
+"""Values of a field that servers repeat; octets above 127 are allowed in it."""
+
+ODD_ENTRIES = (
+    b"not json", b'{"x":' + b"[" * 20_000 + b"]" * 20_000 + b"}", {"slots": 10**30},
+    {"addr": "127.0.0.1:70000"}, {"addr": "server.example:80"}, {"cold_left": "9" * 400 + "s"},
+    {"service": "delta", "born": 2**50}, {"born": 10**20}, {"zone": None},
+)  # fmt: skip
+"""Values of another writer, or what they change of the registration of a server."""
+
 LINK_FAULTS = ("delay", "silent", "one-way", "refuse", "")
 
 
@@ -87,7 +97,9 @@
         service, is_read = rng.choice(self.fleet.services), rng.random() < 0.5
         path = f"/{service}/{'read' if is_read else 'write'}/{rng.randrange(100)}"
         body = b"" if is_read else bytes(rng.randrange(1, 2000))
-        fields = {"Host": "shop.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "2500"}
+        note = rng.choice(NOTES)
+        fields = {"Host": "shop.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "2500",
+                  "X-Note": note}  # fmt: skip
         method = "GET" if is_read else "POST"
         sent = ClientRequest(host, is_read, time.monotonic(), path, len(body))
         self.request_by_id[attempt] = sent
@@ -102,6 +114,8 @@
             expected = f"{method} {path} {len(body)}".encode()
             if content != expected or headers.get("x-response-signature") != f"sig.{attempt}":
                 self.violations.append(f"mixed: {attempt} got {content!r}, {headers}")
+            if headers.get("x-note") != note:
+                self.violations.append(f"mixed: {attempt} got {headers}, not {note!r}")
         return headers.get("connection") != "close"
 
     # --- Faults ---
@@ -113,10 +127,21 @@
         while time.monotonic() < end:
             self.disrupted_until = time.monotonic() + QUIET_S
             rng.choice(
-                (self._restart, self._kill, self._pause, self._set_server_fault,
-                 self._set_link_fault, self._fail_store, self._change_configuration,
-                 self._change_registration, self._set_statements, self._copy_store,
-                 self._restore_store)  # fmt: skip
+                (
+                    self._restart,
+                    self._kill,
+                    self._pause,
+                    self._set_server_fault,
+                    self._set_link_fault,
+                    self._fail_store,
+                    self._change_configuration,
+                    self._change_registration,
+                    self._set_statements,
+                    self._copy_store,
+                    self._restore_store,
+                    self._write_odd_entry,
+                    self._end_behind_heartbeat,
+                )
             )(rng)
             time.sleep(rng.uniform(0.05, 0.8))
         self._clear_faults()
@@ -159,8 +184,25 @@
 
     def _set_statements(self, rng: random.Random) -> None:
         server = self.fleet.server_by_host[rng.choice(self.fleet.hosts)]
+        if "Server-Leaving" in server.statements:
+            server.restart()
         server.statements = rng.choice(STATEMENTS)
 
+    def _write_odd_entry(self, rng: random.Random) -> None:
+        """Write an entry as another writer would, and remove an earlier one."""
+        server = self.fleet.server_by_host[rng.choice(self.fleet.hosts)]
+        odd = rng.choice(ODD_ENTRIES)
+        value = odd if isinstance(odd, bytes) else server.entry() | odd
+        self.fleet.store.put(f"servers/odd-{rng.randrange(4)}", value)
+        self.fleet.store.delete(f"servers/odd-{rng.randrange(4)}")
+
+    def _end_behind_heartbeat(self, rng: random.Random) -> None:
+        """End a registration right behind an entry, and register again a little later."""
+        server = self.fleet.server_by_host[rng.choice(self.fleet.hosts)]
+        server.register(cold_ms=rng.choice((0, 500)))
+        server.deregister()
+        threading.Timer(rng.uniform(0.0, 2.5), server.restart).start()
+
     def _copy_store(self, _rng: random.Random) -> None:
         self.copy = self.fleet.store.copy()
 
@@ -204,8 +246,8 @@
         for host in self.fleet.hosts:
             self.fleet.link_by_host[host].mode = ""
             server = self.fleet.server_by_host[host]
-            server.fault, server.slowness, server.statements = "", 100, {}
-            server.register()
+            server.fault, server.slowness = "", 100
+            server.restart()
             self.fleet.signal(host, signal.SIGCONT)
 
 
