A HEAD request gets the daemon's own answer without a body

Cause: the answer had a body, which h11 refuses to send to HEAD.

Fix: the length is stated, the body is not sent.

Evidence: a table of 3 methods, 4 answers of the daemon's own and 4 of servers, two requests each on one connection, fails before for HEAD with each of the daemon's own and passes now.

--- a/src/pollenroad/proxy/caller_connection.py
+++ b/src/pollenroad/proxy/caller_connection.py
@@ -212,7 +212,7 @@
         if dialect.request_id.lower().startswith("pollenroad-") and request_id:
             fields.append((dialect.request_id, request_id))
         call_id = self._callers.register(self, partial.reservation)
-        exchange = Exchange(call_id, partial.connection, request_id)
+        exchange = Exchange(call_id, partial.connection, request_id, head.method == b"HEAD")
         self._exchanges.append(exchange)
         event = RequestArrived(
             call_id=exchange.call_id,
@@ -236,7 +236,8 @@
     def _refuse(self, partial: PartialRequest, reason: str, detail: str) -> None:
         """Refuse a request as the last one of its connection."""
         call_id = self._callers.register(self, partial.reservation)
-        exchange = Exchange(call_id, partial.connection, "")
+        is_head = partial.head is not None and partial.head.method == b"HEAD"
+        exchange = Exchange(call_id, partial.connection, "", is_head)
         self._exchanges.append(exchange)
         log("caller_refused", reason=reason, detail=detail)
         answer = AnswerCall(call_id, Verdict.NOT_RUN, reason, detail=detail)
--- a/src/pollenroad/proxy/exchanges.py
+++ b/src/pollenroad/proxy/exchanges.py
@@ -37,6 +37,8 @@
     call_id: str
     connection: h11.Connection
     request_id: str
+    is_head: bool = False
+    """Whether the request was HEAD, whose answer has no body."""
     answer: AnswerCall | None = None
 
 
@@ -114,6 +116,8 @@
         if answer.retry_after_ms:
             fields.append(("Retry-After", f"{answer.retry_after_ms / 1000:.3f}"))
     fields.append(("Content-Length", str(len(body))))
+    if exchange.is_head:
+        body = b""
     connection = exchange.connection
     if connection.our_state is h11.IDLE or connection.our_state is h11.SEND_RESPONSE:
         head = h11.Response(status_code=status, headers=encode_fields(fields))
