--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -102,12 +102,12 @@
         readiness_path: str,
         make_source: Callable[[ProxySettings], Source],
     ):
+        self._settings_stamp = _file_stamp(settings_path)  # Before reading: a change is not missed.
         self.settings = load_proxy_settings(settings_path)
         self.incarnation = os.urandom(4).hex()
         self.metrics = ProxyMetrics()
         self.stopping = False
         self._settings_path = settings_path
-        self._settings_stamp = _file_stamp(settings_path)
         self._ended = Flag()
         settings, rng = self.settings, random.Random(self.incarnation)
         location, rules = _location(settings), _budget_rules(settings)
