--- a/src/pollenroad/proxy/caller_connection.py
+++ b/src/pollenroad/proxy/caller_connection.py
@@ -1,8 +1,7 @@
 """One connection of a caller, with pipelined requests that run concurrently.
 
 Each connection has a reading and a writing task. Answers are sent in the order of their requests.
-A connection is closed only after its last answer, because a caller assumes that requests after an
-answer with `Connection: close` were not read.
+What follows an answer with `Connection: close` counts as not read, so that callers send it again.
 """
 
 import socket
@@ -53,8 +52,7 @@
 """Shortest wait for bytes, in seconds, so that those already received are always read."""
 
 MAX_FORWARDED_BODY_BYTES = MAX_FRAME_BYTES - 131_072
-"""Longest body that is forwarded, in bytes: a frame between daemons, less room for its head. A
-longer frame would break the link, and with it all attempts on it."""
+"""Longest body that is forwarded, in bytes: a frame between daemons, less room for its head."""
 
 WRITE_TIMEOUT_S = 10.0
 """Timeout for sending an answer to a caller, in seconds."""
@@ -69,8 +67,7 @@
         self._exchanges: deque[Exchange] = deque()
         self._wake = Flag()
         self._is_ending = False
-        self._is_writing = True
-        """Whether the writing task goes on."""
+        self._is_writing = True  # Whether the writing task goes on.
         self._can_read = Flag()
         self._can_read.set()
 
