test_users_path: the request after a reload is repeated until it is served

The test sent one request and didn't look at its status. It now sends requests until one is served, and each that arrived must have the new caller, not only one of them.

--- a/tests/users/test_users_path.py
+++ b/tests/users/test_users_path.py
@@ -1,5 +1,6 @@
 """Tests of the whole path in the users' wire formats: client, two daemons, server."""
 
+import itertools
 import json
 import re
 import signal
@@ -359,9 +360,10 @@
         path.write_text(json.dumps(self.fleet.settings(host) | {"service": "beta"}))
         await_condition(lambda: self._events("settings_reloaded"))
         self.assertEqual(self._events("settings_reloaded")[-1]["needs_restart"], [])
-        self._status(host, READ, "after")
+        attempts = (f"after-{number}" for number in itertools.count())
+        await_condition(lambda: self._status(host, READ, next(attempts)) == 200)
         callers = {c for s in self.fleet.server_by_host.values() for c in s.callers}
-        self.assertIn("beta", callers)
+        self.assertEqual(callers, {"beta"})
 
     def test_settings_that_need_a_restart_are_named_and_keep_their_values(self):
         host = self.fleet.hosts[0]
