--- a/tests/proxy/test_last_answers.py
+++ b/tests/proxy/test_last_answers.py
@@ -1,5 +1,6 @@
 """The last answers of a connection, and answers without a body."""
 
+import socket
 import unittest
 from dataclasses import replace
 
@@ -50,9 +51,9 @@
         self.callers.is_closing = True
         response = Response(200, (), LONG_BODY)
         self.callers.answer(AnswerCall(self.arrived[0].call_id, Verdict.RAN, "", response))
-        gevent.sleep(0)  # The writing task starts, and waits for this reader.
-        self._send("/b")
         with gevent.Timeout(WAIT_S):
+            self.sock.recv(1, socket.MSG_PEEK)  # The answer is being written.
+            self._send("/b")
             _, headers, body = read_message(self.stream)
             self.assertEqual((headers["connection"], len(body)), ("close", len(LONG_BODY)))
             self.assertEqual(self.stream.read(), b"")
