--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,6 @@
-"""LOST: a daemon that was told to stop accepts requests that it then cuts off before their end."""
+"""LOST: a guard that was idle takes time from an attempt, and breaks it off before its timeout."""
 
+import select
 import socket
 import sys
 import threading
@@ -15,33 +16,55 @@
     HELD,
     Record,
     ReviewFleet,
+    await_condition,
     configuration,
     connect_call,
     finish,
 )
+from tests.users import fleet as users_fleet
+from tests.users.raw_http import answer_bytes
+from tests.users.server import StandInServer
 
-SUBNET = 63
-GRACE_S = 10.0
-TIMEOUT_S = 6.0
-OBJECTIVE = "3000ms"
-DEADLINE_MS = 12_000
-"""Bounds of the site, and those of its route for `standings-read`."""
+SUBNET, MACHINES = 67, 9
+GRACE_S = 6.0
+TIMEOUT_S, DEADLINE_MS = 1.5, 3_000
+"""Timeout of the route and deadline of the client, as for `bib-assign` on the site."""
 
-WORK_S = 5.5
-"""Work of a request; the site states a mean of 1.2 s and at most 7.4 s."""
+WORK_S = 1.25
+"""Work of a request; the site states a mean of 0.29 s and at most 2.1 s."""
 
-EXCUSED_S = 3.0
-"""Requests that were sent up to this time after the SIGTERM are excused if they are still at work
-in the last sixth of `grace`."""
+STOP_AFTER_S = 0.3
+"""Time between the request and the SIGTERM, in seconds."""
 
-STOP_AT_S = 1.5
-"""When the SIGTERM is sent, after the first request, in seconds."""
-
-REQUESTS, GAP_S = 20, 0.3
-"""Requests of the clients on the machine, and the time between two of them."""
+CALM_S = 3.2
+"""Time without any disruption before each request: more than `stable_window`."""
 
 MARGIN_S = 0.05
-"""Tolerance of the times that the rule compares."""
+"""Tolerance before the timeout."""
+
+
+class DeadlineServer(StandInServer):
+    """A server that stops work at the deadline that it receives, or when its connection closes."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.stated_ms: dict[str, float] = {}
+        self.broken_off: set[str] = set()
+        """Ids of requests whose connection was closed while the server was at work on them."""
+
+    def _run(self, handler, method: str, path: str, headers: dict, body: bytes) -> bytes | None:
+        attempt = headers.get("x-attempt-id", "")
+        if headers.get("x-expect-instance") != self.id:
+            return super()._run(handler, method, path, headers, body)
+        self.runs[attempt] += 1
+        self.stated_ms[attempt] = float(headers["x-deadline-ms"])
+        work_s = min(WORK_S, self.stated_ms[attempt] / 1000)
+        readable, _, _ = select.select([handler.connection], [], [], work_s)
+        if readable:
+            self.broken_off.add(attempt)
+            return None
+        fields = {"X-Attempt-Id": attempt, "X-Response-Signature": f"sig.{attempt}"}
+        return answer_bytes(200 if work_s == WORK_S else 504, fields, b"")
 
 
 @dataclass
@@ -49,21 +72,22 @@
     """What a client saw of one request."""
 
     attempt: str
-    sent_at: float
+    sent_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
     is_signed: bool = False
     text: str = ""
 
 
-def send(fleet: ReviewFleet, outcome: Outcome) -> None:
-    """Send one request on a new connection, and note how it ends."""
+def send(fleet: ReviewFleet, host: str, outcome: Outcome) -> None:
+    """Send one request that isn't idempotent to the service of other machines."""
+    service = next(name for name in fleet.services if name != fleet.service(host))
+    outcome.sent_at = time.monotonic()
     try:
-        with socket.create_connection(fleet.call_address(fleet.hosts[0]), 1.0) as sock:
+        with socket.create_connection(fleet.call_address(host), 1.0) as sock:
             sock.settimeout(DEADLINE_MS / 1000)
-            outcome.sent_at = time.monotonic()
             outcome.status, fields, body = connect_call(
-                sock, "GET", "/alpha/read/standings", outcome.attempt, DEADLINE_MS
+                sock, "POST", f"/{service}/write/x", outcome.attempt, DEADLINE_MS, b"x"
             )
         outcome.is_signed = "x-response-signature" in fields
         outcome.text = "" if outcome.is_signed else body.decode("latin-1").strip()
@@ -72,66 +96,55 @@
     outcome.ended_at = time.monotonic()
 
 
-def poll_readiness(fleet: ReviewFleet, record: Record) -> None:
-    """Ask the machine's daemon once a second whether it is ready, as the platform does."""
-    while True:
-        record.add(f"platform: ready {fleet.is_ready(fleet.hosts[0])}")
-        time.sleep(1.0)
-
-
-def is_broken(outcome: Outcome, runs: int, stopped_at: float) -> bool:
-    """Return whether the daemon cut this request off although nothing excuses it."""
-    if not runs or outcome.is_signed:
-        return False
-    after_stop_s = outcome.sent_at - stopped_at
+def play(fleet: ReviewFleet, host: str, record: Record) -> bool:
+    """Stop the daemon of a machine while one of its requests runs; return whether it was cut."""
+    outcome = Outcome(f"q-{host}")
+    thread = threading.Thread(target=send, args=(fleet, host, outcome))
+    thread.start()
+    time.sleep(STOP_AFTER_S)
+    if HAS_TROUBLE:
+        fleet.stop(host)
+    thread.join()
+    server = next((s for s in fleet.server_by_host.values() if s.runs[outcome.attempt]), None)
     took_s = outcome.ended_at - outcome.sent_at
-    is_excused = after_stop_s <= EXCUSED_S + MARGIN_S or took_s >= TIMEOUT_S - MARGIN_S
-    return not is_excused and outcome.ended_at <= stopped_at + GRACE_S + 1
+    was_at_work = server is not None and outcome.attempt in server.broken_off
+    is_cut = not outcome.is_signed and was_at_work and took_s < TIMEOUT_S - MARGIN_S
+    stated = f"{server.stated_ms[outcome.attempt]:.0f} ms" if server else "nothing"
+    record.add(
+        f"{outcome.attempt}: {outcome.status} {outcome.text or '(of the server)'} after "
+        f"{took_s:.2f} s, the server was told {stated}, at work when its connection was closed: {was_at_work}"
+        f"{', SIGTERM ' + str(STOP_AFTER_S) + ' s after it was sent' if HAS_TROUBLE else ''}"
+    )
+    if HAS_TROUBLE:
+        fleet.process_by_host[host].wait(GRACE_S + 1)
+        fleet.start(host)
+        await_condition(lambda: fleet.is_ready(host))
+    return is_cut
 
 
 def run() -> int:
     """Play the case and return the exit code."""
     record = Record(Path(__file__).resolve().parent)
-    fleet = ReviewFleet(3, SUBNET, grace=f"{GRACE_S:g}s")
+    users_fleet.StandInServer = DeadlineServer
+    fleet = ReviewFleet(MACHINES, SUBNET, f"{GRACE_S:g}s", services=("alpha", "beta"))
     try:
-        declared = configuration(version=2, timeout=f"{TIMEOUT_S:g}s")
+        declared = configuration(
+            version=2, services=("alpha", "beta"), timeout=f"{TIMEOUT_S * 1000:g}ms"
+        )
         slo = declared["routes"]["columns"].index("slo")
         for row in declared["routes"]["rows"]:
-            row[slo] = OBJECTIVE
+            row[slo] = "800ms"
         fleet.store.put("op/config", declared)
-        for server in fleet.server_by_host.values():
-            server.service_s = WORK_S
         fleet.start_all()
-        threading.Thread(target=poll_readiness, args=(fleet, record), daemon=True).start()
-        started, stopped_at = time.monotonic(), float("inf")
-        outcomes, threads = [], []
-        for number in range(REQUESTS):
-            time.sleep(max(0.0, started + number * GAP_S - time.monotonic()))
-            if HAS_TROUBLE and stopped_at == float("inf") and number * GAP_S >= STOP_AT_S:
-                fleet.stop(fleet.hosts[0])
-                stopped_at = time.monotonic()
-                record.add(f"SIGTERM to the daemon of {fleet.hosts[0]}")
-            outcomes.append(Outcome(f"q-{number}", time.monotonic()))
-            threads.append(threading.Thread(target=send, args=(fleet, outcomes[-1])))
-            threads[-1].start()
-        for thread in threads:
-            thread.join()
-        runs = {o.attempt: sum(s.runs[o.attempt] for s in fleet.server_by_host.values())
-                for o in outcomes}  # fmt: skip
+        cut = 0
+        for host in fleet.hosts:
+            time.sleep(CALM_S)
+            cut += play(fleet, host, record)
     finally:
         fleet.close()
-    broken, since = 0, stopped_at if HAS_TROUBLE else started
-    for outcome in outcomes:
-        is_cut = is_broken(outcome, runs[outcome.attempt], stopped_at)
-        broken += is_cut
-        record.add(
-            f"{outcome.attempt}: sent at {outcome.sent_at - since:.2f} s, "
-            f"run {runs[outcome.attempt]} times, status {outcome.status} {outcome.text} after "
-            f"{outcome.ended_at - outcome.sent_at:.2f} s{' CUT OFF' if is_cut else ''}"
-        )
-    record.add(f"times are since the {'SIGTERM' if HAS_TROUBLE else 'first request'}")
-    record.add(f"{broken} requests cut off without an excuse")
-    return BROKEN if broken else HELD
+    kind = "after its SIGTERM" if HAS_TROUBLE else "without a SIGTERM, which the rule doesn't count"
+    record.add(f"{cut} of {MACHINES} requests broken off before their timeout, {kind}")
+    return BROKEN if cut and HAS_TROUBLE else HELD
 
 
 if __name__ == "__main__":
