--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds what the scripts of the second review start: the daemons' packages, and the stand-ins.
+# Checks that what the scripts of the second review start can be run; the stand-ins are Python and
+# need no build of their own.
 set -eu
 cd "$(dirname "$0")/.."
-bash -c "$(python3 -c 'import tomllib; print(tomllib.load(open("deploy/system.toml", "rb"))["build"])')"
-python3 -m py_compile review/harness_2.py tests/users/*.py
+python3 -m py_compile review/harness_2.py tests/users/*.py review/[6-9]/case.py review/10/case.py
