--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -120,7 +120,12 @@
 
 
 def finish(run) -> None:
-    """Run a script and exit with its result; a script that cannot run exits with 2."""
+    """Run a script and exit with its result; a script that cannot run, or is ended, exits with 2."""
+
+    def end(_number, _frame) -> None:
+        raise TimeoutError("ended by a signal")  # So that the script ends its processes.
+
+    signal.signal(signal.SIGTERM, end)
     try:
         code = run()
     except Exception as error:
