Guard: a pause is a late timer, not time without events

Cause: TransitTimes took 0.35 s without events for a pause of the process. A guard of the proxy whose server is idle has an event every 0.45 s, and took that time from the first attempt of an entry.

Change: a pause is noticed by a timer that is over 0.25 s late. It bounds the transit of an unknown entry's attempt from above only: what may have expired is refused as not run and goes elsewhere, any other attempt keeps its time; the entry ends it at its deadline. Arrivals (proxy/arrivals.py) holds what the guard knows of an attempt on arrival.

Ruled out: a comparison of clocks, which needs an earlier attempt of the entry.

--- a/src/pollenroad/guard/guard.py
+++ b/src/pollenroad/guard/guard.py
@@ -110,7 +110,7 @@
     def handle(self, event: Event, now: float) -> list[Action]:
         """Process one event and return the resulting actions."""
         if self._capacity:
-            self._transit_times.observe_pause(now)
+            self._transit_times.observe_pause(self._timers.next_due(), now)
         self._now = now
         actions = self._dispatch(event, now)
         actions += self._fill(now)
@@ -156,7 +156,7 @@
         if self._capacity is None:
             self._capacity = Capacity(document, now)
             self._closed_reason = ""
-            self._transit_times.observe_pause(now)
+            self._transit_times.observe_pause(None, now)
             self._timers.set(("beat", ""), now + BEAT_S)
         self._capacity.configure(document)
         return self._update_availability(now)
@@ -178,14 +178,15 @@
     # --- Attempts ---
 
     def _on_attempt(self, peer: str, attempt: Attempt, now: float) -> list[Action]:
-        transit_ms = self._transit_times.transit_s(attempt, now) * 1000
+        transit = self._transit_times.transit(attempt, now)
         self._reporter.subscribers.attempted(peer, now)
         if attempt.attempt_id in self._seen or self._seen.is_full(now):
             return []
-        attempt = replace(attempt, remaining_ms=attempt.remaining_ms - transit_ms)
+        is_expired = attempt.remaining_ms <= transit.most_s * 1000
+        attempt = replace(attempt, remaining_ms=attempt.remaining_ms - transit.least_s * 1000)
         request_class = self._class_by_name.get(attempt.request_class)
         waiting = make_waiting(peer, attempt, request_class, now, self._service_s())
-        refusal = self._refusal(waiting)
+        refusal = self._refusal(waiting, is_expired)
         self._seen.add(attempt.attempt_id, self._max_deadline_s, now)
         if refusal:
             return self._refuse(waiting, refusal)
@@ -193,14 +194,14 @@
         self._timers.set(("start", attempt.attempt_id), waiting.start_by)
         return []
 
-    def _refusal(self, waiting: WaitingAttempt) -> str:
+    def _refusal(self, waiting: WaitingAttempt, is_expired: bool) -> str:
         if waiting.attempt.service != self._service:
             return NOT_HERE
         if self._closed_reason:
             return self._closed_reason
         if waiting.request_class is None:
             return "unknown-class"
-        if waiting.attempt.remaining_ms <= 0:
+        if is_expired:
             return "deadline"
         if self.bound == 0:
             return "server-down"
--- a/src/pollenroad/guard/transit_times.py
+++ b/src/pollenroad/guard/transit_times.py
@@ -3,10 +3,12 @@
 An attempt states its remaining time as of when it was sent. This is too much if its frame was
 delayed, in a socket buffer while the guard's process was paused or by a network partition. Clocks
 of different VMs are never compared: the transit time is how much later a frame came than the
-fastest recent frame of the same entry.
+fastest recent frame of the same entry. Only what is certain shortens an attempt; what is merely
+possible can have it refused as not run, so that it is sent elsewhere.
 """
 
 from collections import OrderedDict, deque
+from dataclasses import dataclass
 
 from pollenroad.messages import Attempt
 
@@ -21,16 +23,15 @@
 dropped early, and without its id a repeated attempt could not be recognised."""
 
 DELAY_WINDOW_S = 3.0
-"""Window of the minimum delay of an entry, in seconds. A VM's clock stops while the VM is
-suspended, so that attempts of its entry seem delayed afterwards, for at most two windows."""
+"""Window of the minimum delay of an entry, in seconds. If the clock of an entry has jumped, its
+attempts seem delayed for at most two windows."""
 
-PAUSE_S = 0.35
-"""Time without events after which this process is considered to have been paused, in seconds. A
-guard with a document in force has an event every 0.1 s."""
+PAUSE_S = 0.25
+"""Delay of a timer above which this process is considered to have been paused, in seconds."""
 
 BACKLOG_READ_S = 0.5
-"""Time after a pause for which attempts of unknown entries count as delayed by the whole pause, in
-seconds. By then the socket buffers have been read."""
+"""Time after a pause for which attempts of unknown entries may have been in transit during the
+pause, in seconds. By then the socket buffers have been read."""
 
 MAX_ENTRIES = 2_000
 """Maximum number of entries whose delays are remembered, the most recent ones."""
@@ -71,6 +72,15 @@
             self._expiry_by_id.pop(attempt_id, None)
 
 
+@dataclass(frozen=True, slots=True)
+class Transit:
+    """Bounds of the time that an attempt was in transit, in seconds."""
+
+    least_s: float = 0.0
+    most_s: float = 0.0
+    """Greater than the lower bound only if a pause of this process leaves it open."""
+
+
 class _MinimumDelay:
     """Minimum delay of one entry, in the current window and the last one with attempts.
 
@@ -78,17 +88,18 @@
     """
 
     def __init__(self, delay_s: float, now: float):
-        self._current_s = delay_s
-        self._previous_s = delay_s
+        self._current = self._previous = (delay_s, now)
         self._window_end = now + DELAY_WINDOW_S
 
-    def update(self, delay_s: float, now: float) -> float:
+    def excess_s(self, delay_s: float, now: float) -> float:
+        """Return by how much a delay exceeds the minimum."""
+        newest = (delay_s, now)
         if now >= self._window_end:
-            self._previous_s = self._current_s
-            self._current_s = delay_s
+            self._previous, self._current = self._current, newest
             self._window_end = now + DELAY_WINDOW_S
-        self._current_s = min(self._current_s, delay_s)
-        return min(self._current_s, self._previous_s)
+        self._current = min(self._current, newest)
+        minima = (self._current, self._previous)
+        return max(0.0, *(delay_s - s for s, _ in minima))
 
 
 class TransitTimes:
@@ -96,38 +107,51 @@
 
     def __init__(self):
         self._delay_by_entry: OrderedDict[str, _MinimumDelay] = OrderedDict()
-        self._last_event = 0.0
-        self._pause_ended = 0.0
+        self._last_event: float | None = None
+        self._pause_ended = float("-inf")
         self._pause_s = 0.0
 
-    def observe_pause(self, now: float) -> None:
-        """Record that this process runs at `now`, and detect a pause before it."""
-        idle_s = now - self._last_event
-        if self._last_event and idle_s > PAUSE_S:
+    def observe_pause(self, timer_due: float | None, now: float) -> None:
+        """Record that this process runs, and detect a pause before it.
+
+        Time without events is no pause: an idle process waits for its next timer.
+
+        Args:
+            timer_due: When the next timer was due, in monotonic seconds; None if none was set.
+            now: Monotonic time in seconds.
+        """
+        last_event, self._last_event = self._last_event, now
+        if last_event is None or timer_due is None:
+            return
+        if now - max(timer_due, last_event) > PAUSE_S:
             self._pause_ended = now
-            self._pause_s = idle_s
-        self._last_event = now
+            self._pause_s = now - last_event
 
-    def transit_s(self, attempt: Attempt, now: float) -> float:
-        """Return the time that an attempt was in transit, in seconds, as far as it is known.
+    def transit(self, attempt: Attempt, now: float) -> Transit:
+        """Return the bounds of the time that an attempt was in transit, as far as they are known.
 
-        For a known entry this is a lower bound. An unknown entry may have sent the attempt before
-        or during a pause of this process, so for `BACKLOG_READ_S` after a pause its attempts count
-        as delayed by the whole pause.
+        The first attempt of an entry may have been sent at any time before or during a pause of
+        this process, so that for `BACKLOG_READ_S` after a pause only its upper bound is known.
+
+        Args:
+            attempt: The attempt.
+            now: Monotonic time in seconds.
         """
         if not attempt.sent_ms:
-            return self._transit_after_pause_s(now)
+            return self._transit_after_pause(now)
         entry = attempt.attempt_id.rpartition("-")[0]
         delay_s = now - attempt.sent_ms / 1000
         minimum = self._delay_by_entry.get(entry)
         if minimum is None:
             self._remember(entry, _MinimumDelay(delay_s, now))
-            return self._transit_after_pause_s(now)
+            return self._transit_after_pause(now)
         self._delay_by_entry.move_to_end(entry)
-        return delay_s - minimum.update(delay_s, now)
+        excess_s = minimum.excess_s(delay_s, now)
+        return Transit(excess_s, excess_s)
 
-    def _transit_after_pause_s(self, now: float) -> float:
-        return self._pause_s if now - self._pause_ended < BACKLOG_READ_S else 0.0
+    def _transit_after_pause(self, now: float) -> Transit:
+        is_recent = now - self._pause_ended < BACKLOG_READ_S
+        return Transit(most_s=self._pause_s) if is_recent else Transit()
 
     def _remember(self, entry: str, delay: _MinimumDelay) -> None:
         self._delay_by_entry[entry] = delay
--- /dev/null
+++ b/src/pollenroad/proxy/arrivals.py
@@ -0,0 +1,45 @@
+"""Attempts as they arrive at a guard: which are repeated, and what is left of their time."""
+
+from dataclasses import dataclass
+
+from pollenroad.guard.transit_times import SeenAttempts, TransitTimes
+from pollenroad.messages import Attempt
+
+LONGEST_DEADLINE_S = 15.0
+"""Longest deadline of most attempts, in seconds; attempt ids are remembered for longer than that.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Time that an attempt has left on its arrival."""
+
+    remaining_s: float
+    """Upper bound, in seconds."""
+    is_expired: bool
+    """Whether nothing may be left, so that the attempt is better sent elsewhere."""
+
+
+class Arrivals:
+    """Attempts that have arrived at one guard."""
+
+    def __init__(self):
+        self._seen = SeenAttempts()
+        self._transit_times = TransitTimes()
+
+    def observe_pause(self, timer_due: float | None, now: float) -> None:
+        """See `TransitTimes.observe_pause`."""
+        self._transit_times.observe_pause(timer_due, now)
+
+    def add(self, attempt: Attempt, now: float) -> Arrival | None:
+        """Record an attempt; return None if it is repeated, cancelled, or cannot be remembered."""
+        if attempt.attempt_id in self._seen or self._seen.is_full(now):
+            return None
+        left_s = attempt.remaining_ms / 1000
+        self._seen.add(attempt.attempt_id, max(LONGEST_DEADLINE_S, left_s), now)
+        transit = self._transit_times.transit(attempt, now)
+        return Arrival(left_s - transit.least_s, left_s <= transit.most_s)
+
+    def cancel(self, attempt_id: str, now: float) -> None:
+        """Record that an attempt is cancelled, so that it does not run if it arrives later."""
+        self._seen.add(attempt_id, LONGEST_DEADLINE_S, now)
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -25,12 +25,12 @@
 from pollenroad.guard.admission import AdmissionQueue, SlotShares, WaitingAttempt
 from pollenroad.guard.availability import LEAVING, NOT_HERE
 from pollenroad.guard.running_attempts import RunningAttempt, RunningAttempts
-from pollenroad.guard.transit_times import SeenAttempts, TransitTimes
 from pollenroad.messages import Attempt, AttemptAnswer, CancelAttempt, LoadReport
 from pollenroad.proxy import records
 from pollenroad.proxy.admission.guard_shedding import GuardShedding
 from pollenroad.proxy.admission_policy import AdmissionPolicy
 from pollenroad.proxy.answers import answer_of, is_success
+from pollenroad.proxy.arrivals import Arrivals
 from pollenroad.proxy.boundary import (
     DirectoryChanged,
     DirectoryRead,
@@ -51,27 +51,27 @@
 from pollenroad.timers import Timers
 from pollenroad.verdicts import Verdict
 
-LONGEST_DEADLINE_S = 15.0
-"""Longest deadline of any attempt, in seconds; attempt ids are remembered for longer than that."""
-
 
 class Guard:
     """State of one guard: its endpoint, the waiting attempts, and those running at its server."""
 
     def __init__(
-        self, server: str, service: str, directory: Directory, cold_bound: ColdBound, now: float
+        self,
+        local: LocalServer,
+        directory: Directory,
+        cold_bound: ColdBound,
+        now: float,
     ):
-        self.local = LocalServer(server, service, directory)
+        self.local = local
         self._directory = directory
         shares = SlotShares()
         self._queue = AdmissionQueue(shares)
         self._running_attempts = RunningAttempts(shares)
-        self._seen = SeenAttempts()
-        self._transit_times = TransitTimes()
+        self._arrivals = Arrivals()
         self._status = ServerStatus(self.local, now)
         self._health = self._status.health
         self.recovery = GuardRecovery(directory, self._health, now)
-        rng = random.Random(server)
+        rng = random.Random(local.address)
         self.policy = AdmissionPolicy(self._health, cold_bound, rng, self.recovery)
         self._shedding = GuardShedding(directory, self.local, self.policy, self._queue)
         self._load_reporter = LoadReporter()
@@ -115,7 +115,7 @@
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Process one event and return the actions to perform."""
-        self._transit_times.observe_pause(now)
+        self._arrivals.observe_pause(self._timers.next_due(), now)
         restarts = self._status.detect_restart(now)
         actions = [*restarts, *self._actions(event, now)]
         self.policy.request_rate.set_limit(self._status.advertised.limit_per_s, now)
@@ -155,17 +155,16 @@
     # --- Attempts ---
 
     def _on_attempt(self, peer: str, attempt: Attempt, now: float) -> Iterator[Action]:
-        if attempt.attempt_id in self._seen or self._seen.is_full(now):
+        arrival = self._arrivals.add(attempt, now)
+        if arrival is None:
             return
-        self._seen.add(attempt.attempt_id, LONGEST_DEADLINE_S, now)
         self._load_reporter.attempted(host_of(peer), now)
         self._health.attempted(now)
         self.recovery.arrived(attempt, now)
         yield from self._status.on_hint(attempt)
-        remaining_s = attempt.remaining_ms / 1000 - self._transit_times.transit_s(attempt, now)
-        waiting = self.policy.make_waiting(peer, attempt, remaining_s, now)
+        waiting = self.policy.make_waiting(peer, attempt, arrival.remaining_s, now)
         waiting = self._shedding.ranked(waiting, now)
-        if reason := self._refusal(waiting, remaining_s, now):
+        if reason := self._refusal(waiting, arrival.is_expired, now):
             yield from self._refuse(waiting, reason, now)
             return
         self._queue.add(waiting)
@@ -174,13 +173,13 @@
             yield records.attempt_displaced(displaced, attempt, now)
             yield from self._refuse(displaced, DISPLACED, now)
 
-    def _refusal(self, waiting: WaitingAttempt, remaining_s: float, now: float) -> str:
+    def _refusal(self, waiting: WaitingAttempt, is_expired: bool, now: float) -> str:
         attempt = waiting.attempt
         if reason := self.closed_reason():
             return reason
         if self.local.is_other(attempt):
             return NOT_HERE
-        if remaining_s <= 0:
+        if is_expired:
             return "deadline"
         return self.policy.refusal(waiting, self._queue, self.local.slots, now)
 
@@ -255,7 +254,7 @@
         yield RunAtServer(attempt, waiting.deadline - now)
 
     def _on_cancel(self, attempt_id: str, now: float) -> Iterator[Action]:
-        self._seen.add(attempt_id, LONGEST_DEADLINE_S, now)
+        self._arrivals.cancel(attempt_id, now)
         if self._queue.remove(attempt_id):
             self._timers.cancel(("start", attempt_id))
             return
@@ -346,4 +345,4 @@
     cold_bound: ColdBound = NO_COLD_BOUND,
 ) -> Guard:
     """Return a guard for the server of `service` at the address `server`."""
-    return Guard(server, service, directory, cold_bound, now)
+    return Guard(LocalServer(server, service, directory), directory, cold_bound, now)
