Transit times: neither a suspension nor the drift of two clocks counts as transit

After an hour without attempts, an entry whose clock ran 0.05% slower lost 1.8 s.

Cause: an attempt states when it was sent by the monotonic clock, which stops while a VM is suspended, and the fastest delay of an entry counted however old it was.

Change: attempts are stamped and compared on the boot clock (clocks.suspended_s, injected); the minimum delay loses 1 ms a second of its age beyond two windows, so that the transit stays a lower bound.

Evidence: test_arrivals.ClockTest; the test of the drift and that of the entry's suspension fail without the change (without it the parameters are missing, the drift gives no time at all).

--- a/src/pollenroad/guard/transit_times.py
+++ b/src/pollenroad/guard/transit_times.py
@@ -26,6 +26,10 @@
 """Window of the minimum delay of an entry, in seconds. If the clock of an entry has jumped, its
 attempts seem delayed for at most two windows."""
 
+MAX_DRIFT = 0.001
+"""Most by which two clocks may drift apart, in seconds per second. The kernel slews a clock by up
+to half of it."""
+
 PAUSE_S = 0.25
 """Delay of a timer above which this process is considered to have been paused, in seconds."""
 
@@ -92,14 +96,19 @@
         self._window_end = now + DELAY_WINDOW_S
 
     def excess_s(self, delay_s: float, now: float) -> float:
-        """Return by how much a delay exceeds the minimum."""
+        """Return by how much a delay exceeds the minimum for certain, given the clocks' drift."""
         newest = (delay_s, now)
         if now >= self._window_end:
             self._previous, self._current = self._current, newest
             self._window_end = now + DELAY_WINDOW_S
         self._current = min(self._current, newest)
         minima = (self._current, self._previous)
-        return max(0.0, *(delay_s - s for s, _ in minima))
+        return max(0.0, *(delay_s - s - _drift_s(now - at) for s, at in minima))
+
+
+def _drift_s(age_s: float) -> float:
+    """Return by how much two clocks may have drifted apart, in seconds; 0 for a short time."""
+    return MAX_DRIFT * max(0.0, age_s - 2 * DELAY_WINDOW_S)
 
 
 class TransitTimes:
@@ -127,7 +136,7 @@
             self._pause_ended = now
             self._pause_s = now - last_event
 
-    def transit(self, attempt: Attempt, now: float) -> Transit:
+    def transit(self, attempt: Attempt, now: float, suspended_s: float = 0.0) -> Transit:
         """Return the bounds of the time that an attempt was in transit, as far as they are known.
 
         The first attempt of an entry may have been sent at any time before or during a pause of
@@ -136,11 +145,12 @@
         Args:
             attempt: The attempt.
             now: Monotonic time in seconds.
+            suspended_s: Time for which this VM was suspended so far, in seconds.
         """
         if not attempt.sent_ms:
             return self._transit_after_pause(now)
         entry = attempt.attempt_id.rpartition("-")[0]
-        delay_s = now - attempt.sent_ms / 1000
+        delay_s = now + suspended_s - attempt.sent_ms / 1000
         minimum = self._delay_by_entry.get(entry)
         if minimum is None:
             self._remember(entry, _MinimumDelay(delay_s, now))
--- a/src/pollenroad/proxy/arrivals.py
+++ b/src/pollenroad/proxy/arrivals.py
@@ -1,5 +1,6 @@
 """Attempts as they arrive at a guard: which are repeated, and what is left of their time."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from pollenroad.guard.transit_times import SeenAttempts, TransitTimes
@@ -21,9 +22,14 @@
 
 
 class Arrivals:
-    """Attempts that have arrived at one guard."""
+    """Attempts that have arrived at one guard.
 
-    def __init__(self):
+    Args:
+        suspended_s: Returns for how long the VM was suspended so far, in seconds.
+    """
+
+    def __init__(self, suspended_s: Callable[[], float]):
+        self._suspended_s = suspended_s
         self._seen = SeenAttempts()
         self._transit_times = TransitTimes()
 
@@ -37,7 +43,7 @@
             return None
         left_s = attempt.remaining_ms / 1000
         self._seen.add(attempt.attempt_id, max(LONGEST_DEADLINE_S, left_s), now)
-        transit = self._transit_times.transit(attempt, now)
+        transit = self._transit_times.transit(attempt, now, self._suspended_s())
         return Arrival(left_s - transit.least_s, left_s <= transit.most_s)
 
     def cancel(self, attempt_id: str, now: float) -> None:
--- a/src/pollenroad/proxy/cores.py
+++ b/src/pollenroad/proxy/cores.py
@@ -1,6 +1,7 @@
 """The cores of one proxy: directory, relay, gate, quotas, entry and guard."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from pollenroad.boundary import (
@@ -75,6 +76,7 @@
         now: float,
         dialect: Dialect = OWN_DIALECT,
         quota_rules: QuotaRules = DEFAULT_RULES,
+        suspended_s: Callable[[], float] = lambda: 0.0,
     ):
         self.directory = make_directory()
         self._configuration: Configuration | None = None
@@ -83,12 +85,23 @@
         quotas = QuotaCore(location.peer_address, location.failure_domain, quota_rules, rng, now)
         self.quotas = QuotaStage(quotas, self.directory)
         self.entry = Entry(
-            incarnation, location.failure_domain, self.directory, rules, rng, dialect
+            incarnation,
+            location.failure_domain,
+            self.directory,
+            rules,
+            rng,
+            dialect,
+            suspended_s,
         )
         self.entry.set_caller(location.service)
         self.relay = DirectoryRelay(location.peer_address, location.failure_domain, self.directory)
         self.guard = make_guard(
-            location.server, location.service, self.directory, now, location.cold_bound
+            location.server,
+            location.service,
+            self.directory,
+            now,
+            location.cold_bound,
+            suspended_s,
         )
         self.entry.on_failed_call = self.guard.recovery.call_failed
 
--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -19,6 +19,7 @@
     StopRequested,
     Tick,
 )
+from pollenroad.clocks import suspended_s
 from pollenroad.exceptions import ConfigurationError
 from pollenroad.logs import LOGGER, log
 from pollenroad.proxy.boundary import (
@@ -121,7 +122,9 @@
         settings, rng = self.settings, random.Random(self.incarnation)
         location, rules = _location(settings), _budget_rules(settings)
         now, quota_rules = time.monotonic(), _quota_rules(settings)
-        self.cores = ProxyCores(self.incarnation, location, rules, rng, now, dialect, quota_rules)
+        self.cores = ProxyCores(
+            self.incarnation, location, rules, rng, now, dialect, quota_rules, suspended_s
+        )
         self._driver = Driver(self._handle, self.cores.next_due)
         self.post = self._driver.post
         self._reader = DirectoryReader(
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -64,8 +64,9 @@
         rules: BudgetRules,
         rng: random.Random,
         dialect: Dialect = OWN_DIALECT,
+        suspended_s: Callable[[], float] = lambda: 0.0,
     ):
-        self._selector = EndpointSelector(incarnation, failure_domain, directory, rng)
+        self._selector = EndpointSelector(incarnation, failure_domain, directory, rng, suspended_s)
         self.fleet = self._selector.fleet
         self._directory = directory
         self._dialect = dialect
--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from msgspec.structs import replace
 
@@ -60,6 +60,7 @@
         local: LocalServer,
         directory: Directory,
         cold_bound: ColdBound,
+        suspended_s: Callable[[], float],
         now: float,
     ):
         self.local = local
@@ -67,7 +68,7 @@
         shares = SlotShares()
         self._queue = AdmissionQueue(shares)
         self._running_attempts = RunningAttempts(shares)
-        self._arrivals = Arrivals()
+        self._arrivals = Arrivals(suspended_s)
         self._status = ServerStatus(self.local, now)
         self._health = self._status.health
         self.recovery = GuardRecovery(directory, self._health, now)
@@ -343,6 +344,7 @@
     directory: Directory,
     now: float,
     cold_bound: ColdBound = NO_COLD_BOUND,
+    suspended_s: Callable[[], float] = lambda: 0.0,
 ) -> Guard:
-    """Return a guard for the server of `service` at the address `server`."""
-    return Guard(LocalServer(server, service, directory), directory, cold_bound, now)
+    """Return a guard for the server of `service` at the address `server`; see also `Arrivals`."""
+    return Guard(LocalServer(server, service, directory), directory, cold_bound, suspended_s, now)
--- a/src/pollenroad/proxy/selection.py
+++ b/src/pollenroad/proxy/selection.py
@@ -1,6 +1,7 @@
 """Endpoint selection of an entry, and the attempts that it sends to guards."""
 
 import random
+from collections.abc import Callable
 
 from pollenroad.messages import MAX_REMAINING_MS, Attempt
 from pollenroad.proxy.admission.activation import Activation
@@ -31,10 +32,16 @@
         failure_domain: Failure domain of the daemon.
         directory: Endpoints and configuration.
         rng: Random source that breaks ties.
+        suspended_s: Returns for how long the VM was suspended so far, in seconds.
     """
 
     def __init__(
-        self, incarnation: str, failure_domain: str, directory: Directory, rng: random.Random
+        self,
+        incarnation: str,
+        failure_domain: str,
+        directory: Directory,
+        rng: random.Random,
+        suspended_s: Callable[[], float] = lambda: 0.0,
     ):
         self.caller = ""
         """Service of the server on this VM, the origin of the requests."""
@@ -44,6 +51,7 @@
         self._directory = directory
         self._activation = Activation(directory)
         self._attempt_count = 0
+        self._suspended_s = suspended_s
 
     def select(self, call: OpenCall, now: float) -> tuple[EndpointView, float] | None:
         """Return an endpoint that has not been tried and its cost in seconds, or None."""
@@ -87,7 +95,7 @@
             request=call.arrived.request,
             number=call.attempts + 1,
             config_version=self._directory.configuration.version,
-            sent_ms=now * 1000,
+            sent_ms=(now + self._suspended_s()) * 1000,
             incarnation=view.endpoint.incarnation,
             caller=self.caller,
             objective_ms=max(0.0, call.started + route.objective_s - now) * 1000,
--- a/tests/proxy/test_arrivals.py
+++ b/tests/proxy/test_arrivals.py
@@ -1,18 +1,27 @@
 """What is left of the time of an attempt when it arrives at a guard."""
 
+import random
 import unittest
 
-from pollenroad.boundary import RunAtServer
+from pollenroad.boundary import PeerReceived, RunAtServer
 from pollenroad.guard.transit_times import PAUSE_S
 from pollenroad.proxy.boundary import ServerSeen
+from pollenroad.proxy.entry import Entry
+from pollenroad.proxy.guard import make_guard
 from pollenroad.proxy.health import IDLE_CHECK_INTERVAL_S
 from tests.proxy.samples import (
+    PEER,
+    RETRIES,
+    SERVICE,
+    admitted,
     attempt_answers,
+    directory_with,
     endpoint,
     guard_with,
     of_kind,
     run_until,
     send_attempt,
+    sent,
 )
 
 PAUSE = 1.0
@@ -84,3 +93,35 @@
 
     def test_a_delayed_attempt_of_a_known_entry_has_only_what_is_left(self):
         self.assert_runs_for(0.6, self._arrive((50.0, 1.0), (51.0, 2.4)))
+
+    def test_the_drift_of_two_clocks_is_not_taken_for_transit(self):
+        """An attempt after an hour without any lost what the clocks had drifted apart meanwhile."""
+        self.assert_runs_for(1.0, self._arrive((50.0, 1.0), (50.0 + 3600 * 0.9995, 3601.0)))
+
+    def test_after_a_suspension_of_its_vm_an_entry_has_all_of_its_time(self):
+        """The monotonic clock stops meanwhile, so that the next attempts seemed to be delayed."""
+        suspended_s = 0.0
+        directory = directory_with(endpoint(1))
+        guard = make_guard(endpoint(1).server, SERVICE, directory, 0.0)
+        entry = Entry(
+            "entry", "a", directory, RETRIES, random.Random(1), suspended_s=lambda: suspended_s
+        )
+        guard.handle(ServerSeen(is_health=True), 0.0)
+        for number, (now, at_guard) in enumerate([(1.0, 1.0), (1.1, 6.1)]):
+            suspended_s = at_guard - now
+            (message,) = sent(entry.handle(admitted(number, timeout_s=1.0), now))
+            actions = guard.handle(PeerReceived(PEER, message), at_guard)
+            actions += guard.handle(ServerSeen(is_health=True), at_guard)
+        self.assert_runs_for(message.remaining_ms / 1000, actions)
+
+    def test_what_arrived_while_the_vm_of_the_guard_was_suspended_has_only_what_is_left(self):
+        suspended_s = 0.0
+        directory = directory_with(endpoint(1))
+        guard = make_guard(
+            endpoint(1).server, SERVICE, directory, 0.0, suspended_s=lambda: suspended_s
+        )
+        guard.handle(ServerSeen(is_health=True), 0.0)
+        send_attempt(guard, 0.0, number=1, sent_ms=1.0)
+        suspended_s = 5.0
+        (refusal,) = attempt_answers(send_attempt(guard, 0.2, number=2, sent_ms=101.0))
+        self.assertEqual(refusal.reason, "deadline")
