Entry: a server at work gets all of its request's time

Callers saw (by reading and tests): a request at work was ended 40 ms before its caller's deadline (at half of a deadline below 80 ms), and its server was told 15 ms less than that, or than the route's timeout. A request without a deadline ended after 60 s, whatever its route's timeout.

Cause: the margins for the way back of an answer were taken from the server's time.

Change: OpenCall.work_until is the route's timeout or the caller's deadline; the server is told all that is left until then, and only then the entry answers. A request that no server runs is still refused 40 ms earlier, so that the refusal arrives, and what to start is decided as before. The guard's answer at the deadline, from which the entry learned of the failure, now comes too late: the entry counts it itself, also if the caller gives up first.

--- a/src/pollenroad/proxy/calls.py
+++ b/src/pollenroad/proxy/calls.py
@@ -22,8 +22,9 @@
 that is cut off at its deadline has used a slot for nothing."""
 
 GIVE_UP_MARGIN_S = 0.04
-"""Time before its caller's deadline at which a request is answered, in seconds, so that the answer
-arrives before the caller gives up: a network delay of 8 ms in each direction, and some reserve."""
+"""Time before its caller's deadline at which a request that no server runs is refused, in seconds,
+so that the refusal arrives before the caller gives up: a network delay of 8 ms in each direction,
+and some reserve."""
 
 DEFER_SHARE = 0.11
 """Longest wait of a request for an available endpoint, as a share of its latency objective."""
@@ -50,7 +51,10 @@
     service: str
     started: float
     deadline: float
-    """Monotonic time at which the request is answered in any case."""
+    """Monotonic time at which the request is answered if no server is at work on it."""
+    work_until: float
+    """Monotonic time until which a server may work on the request: that of the route's timeout, or
+    of the caller's deadline if that is sooner."""
     attempts: int = 0
     """Attempts that are open or have reached a server."""
     refusals: int = 0
@@ -97,6 +101,10 @@
         """Whether a guard refused this request for the limit that its server states."""
         return self.refused_wait_s < float("inf")
 
+    def is_worked_on(self, now: float) -> bool:
+        """Return whether a server may be at work on the request, and may go on."""
+        return bool(self.open_attempt_ids) and now < self.work_until
+
     def learn_room(self, answer: AttemptAnswer, view: EndpointView, now: float) -> None:
         """Record when a guard that refused an attempt expects to have room."""
         if answer.retry_after_ms:
@@ -155,9 +163,12 @@
 def make_open_call(admitted: RequestAdmitted, service: str, now: float) -> OpenCall:
     """Return the state of a request that has just been admitted."""
     arrived, route, started = admitted.arrived, admitted.route, now - admitted.waited_s
+    work_until = started + min(route.timeout_s, arrived.deadline_s)
     caller_wait_s = max(arrived.deadline_s / 2, arrived.deadline_s - GIVE_UP_MARGIN_S)
-    deadline = started + min(route.timeout_s, caller_wait_s)
-    return OpenCall(arrived, route, service, started, deadline, workspace=admitted.workspace)
+    deadline = min(work_until, started + caller_wait_s)
+    return OpenCall(
+        arrived, route, service, started, deadline, work_until, workspace=admitted.workspace
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pollenroad/proxy/entry.py
+++ b/src/pollenroad/proxy/entry.py
@@ -300,6 +300,7 @@
 
     def _abandon(self, call_id: str, now: float) -> Iterator[Action]:
         if call := self._call_by_id.get(call_id):
+            self._open_attempts.learn_overdue(call, now)
             yield from self._close(call, now)
             yield call_answered(call, Verdict.UNKNOWN, "abandoned", "", now)
 
@@ -319,9 +320,16 @@
                 case "look":
                     yield from self._hedge(call, now)
                 case "end":
-                    is_sent = call.open_attempt_ids or call.may_have_run
-                    verdict = Verdict.UNKNOWN if is_sent else Verdict.NOT_RUN
-                    yield from self._finish(call, verdict, "timeout", now)
+                    yield from self._on_end_due(call, now)
+
+    def _on_end_due(self, call: OpenCall, now: float) -> Iterator[Action]:
+        if call.is_worked_on(now):
+            self._timers.set(("end", call.arrived.call_id), call.work_until)
+            return
+        self._open_attempts.learn_overdue(call, now)
+        is_sent = call.open_attempt_ids or call.may_have_run
+        verdict = Verdict.UNKNOWN if is_sent else Verdict.NOT_RUN
+        yield from self._finish(call, verdict, "timeout", now)
 
     def _schedule_hedge_check(self, call: OpenCall, view: EndpointView, now: float) -> None:
         if not call.route.idempotent or call.attempts >= call.route.max_attempts:
--- a/src/pollenroad/proxy/exchanges.py
+++ b/src/pollenroad/proxy/exchanges.py
@@ -1,6 +1,7 @@
 """Requests of one caller connection, and the encoding of their answers."""
 
 import io
+import math
 import re
 import time
 from dataclasses import dataclass, field
@@ -16,8 +17,9 @@
 from pollenroad.proxy.quotas.outcome import OVER_QUOTA, UNDECIDED
 from pollenroad.verdicts import Verdict
 
-DEFAULT_DEADLINE_S = 60.0
-"""Deadline of a request without a valid deadline field, in seconds."""
+DEFAULT_DEADLINE_S = math.inf
+"""Deadline of a request without a valid deadline field, in seconds: its route's timeout alone ends
+it."""
 
 MIN_PROGRESS_BYTES = 1_024
 """Bytes that must arrive in each `header_timeout` while a body is read: a caller that sends single
--- a/src/pollenroad/proxy/open_attempts.py
+++ b/src/pollenroad/proxy/open_attempts.py
@@ -33,6 +33,12 @@
             attempt.view.own_in_flight -= 1
         return attempt
 
+    def learn_overdue(self, call: OpenCall, now: float) -> None:
+        """Count the attempts of a request as failures of their servers if it is overdue."""
+        if now >= call.deadline:
+            for attempt_id in call.open_attempt_ids:
+                self._attempt_by_id[attempt_id].view.failed(now)
+
     def cancel(self, call: OpenCall) -> Iterator[Action]:
         """Remove and cancel the attempts of a request that has been answered."""
         for attempt_id in sorted(call.open_attempt_ids):
--- a/src/pollenroad/proxy/selection.py
+++ b/src/pollenroad/proxy/selection.py
@@ -20,9 +20,6 @@
 longer than to wait for most servers, and fills links of few megabits per second, on which the calls
 of other requests then miss their deadlines."""
 
-ANSWER_MARGIN_S = 0.015
-"""Time reserved for the transit of the answer, in seconds; servers get the rest."""
-
 
 class EndpointSelector:
     """Selects endpoints by their reported load and the service times of routes.
@@ -82,7 +79,7 @@
         self._attempt_count += 1
         route = call.route
         is_long = len(call.arrived.request.body) > MAX_PUSHBACK_BODY_BYTES
-        remaining_ms = (call.deadline - now - ANSWER_MARGIN_S) * 1000
+        remaining_ms = (call.work_until - now) * 1000
         accepts_pushback = call.pushbacks < MAX_PUSHBACKS and not is_long
         return Attempt(
             attempt_id=f"{self._incarnation}-{self._attempt_count}",
