Planned stop: accept late requests only if they can end before the daemon

Callers saw: with a grace of 10 s, requests sent 3.5 to 4.5 s after the SIGTERM were accepted, passed on, and ended with a 502 of the daemon's own at 9 s, while their servers were at work, also those that must not run twice. With a grace below 4 s the process was killed while it sent its last answers.

Cause: every request was accepted for 0.45 of the grace, whatever its timeout; above a grace of 6.7 s that is longer than callers may be unaware of the stop. The last answers took 0.4 s of what was left.

Change: proxy/drain.py has the times of a stop. Any request is accepted for 2.7 s at most; after that the gate accepts what ends by its timeout or deadline before the drain does, and refuses the rest at once as not run.

--- a/src/pollenroad/proxy/daemon.py
+++ b/src/pollenroad/proxy/daemon.py
@@ -39,6 +39,7 @@
 from pollenroad.proxy.cores import DaemonLocation, ProxyCores
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.proxy.directory_reader import DirectoryReader, Source
+from pollenroad.proxy.drain import make_drain_plan
 from pollenroad.proxy.http1 import Page, serve_pages
 from pollenroad.proxy.load_datagrams import LoadDatagrams
 from pollenroad.proxy.memory.account import AccountLimits
@@ -54,22 +55,6 @@
 from pollenroad.shell.tasks import spawn_supervised
 from pollenroad.verdicts import Verdict
 
-READINESS_DELAY_S = 2.2
-"""Time after a stop request in which callers still send requests, in seconds: they poll readiness
-once a second and stop sending after the second failed check."""
-
-ACCEPT_SHARE = 0.45
-"""Share of the time between SIGTERM and SIGKILL in which new requests are accepted. The rest is
-reserved for requests in flight."""
-
-DRAIN_SHARE = 0.9
-"""Share of the time between SIGTERM and SIGKILL after which the daemon ends even with requests in
-flight."""
-
-LAST_ANSWERS_S = 0.4
-"""Time before the end in which the last answers are sent, in seconds. What arrives meanwhile, also
-from the accept queue, is refused as not run."""
-
 POLL_S = 0.05
 """Time between two checks for requests in flight while the daemon stops, in seconds."""
 
@@ -258,20 +243,21 @@
             gevent.spawn(self._drain)
 
     def _drain(self) -> None:
-        started, grace_s = time.monotonic(), seconds(self.settings.grace)
+        started = time.monotonic()
+        plan = make_drain_plan(started, seconds(self.settings.grace))
         log("daemon_stopping", in_flight=self.cores.guard.in_flight, calls=self._pending())
         self.callers.is_closing = True
+        self.cores.gate.drain_plan = plan
         self.post(StopRequested())
-        while (elapsed_s := time.monotonic() - started) < DRAIN_SHARE * grace_s:
-            if elapsed_s > READINESS_DELAY_S and not self._pending():
+        while (now := time.monotonic()) < plan.cut_at:
+            if now > plan.idle_from and not self._pending():
                 break
-            self.callers.is_refusing = elapsed_s > ACCEPT_SHARE * grace_s
             gevent.sleep(POLL_S)
         self.callers.is_refusing = True
         if self._pending():
             log("drain_timeout", in_flight=self.cores.guard.in_flight, calls=self._pending())
             self.post(DrainExpired())
-        gevent.sleep(LAST_ANSWERS_S)
+        gevent.sleep(plan.last_answers_s(time.monotonic()))
         for server in self._servers:
             server.close()
         log("daemon_stopped", seconds=round(time.monotonic() - started, 2))
--- a/tests/proxy/test_unranked_decisions.py
+++ b/tests/proxy/test_unranked_decisions.py
@@ -16,8 +16,8 @@
 from pollenroad.proxy.load_datagrams import encode_report
 
 BEFORE = "c3bbc786f2df0932"
-"""Digest of the decisions of the code before load shedding (commit ad3bdfd) for the same events, but
-with the deadlines of now: servers get the time that was reserved for the answer until then."""
+"""Digest of the decisions of the code before load shedding (commit ad3bdfd) for the same events,
+but with later deadlines: servers get the time that was reserved for the answer until then."""
 
 
 def _text(number: int, action) -> str:
