Uploads: a server that reads nothing for 1.5 s is not a lost one

Cause: TCP_USER_TIMEOUT also counts the time in which data waits for a closed receive window.

Ruled out: the timeout of the exchange, which was 10 s away.

--- a/src/pollenroad/proxy/http1.py
+++ b/src/pollenroad/proxy/http1.py
@@ -28,7 +28,7 @@
     ReplyLimits,
     ReplyParser,
 )
-from pollenroad.shell.sockets import set_liveness_options, set_no_delay
+from pollenroad.shell.sockets import await_slow_reader, set_liveness_options, set_no_delay
 
 MAX_REPLIES = 4
 """Maximum number of answers read in one exchange; those to earlier requests are skipped."""
@@ -145,6 +145,7 @@
         is_stale: Callable[[Reply], bool],
         reserve: Callable[[int], Grant] | None,
     ) -> Reply:
+        await_slow_reader(self._sock, True)
         sender = self._sender = gevent.spawn(self._send, parts)
         try:
             reply = self._read_own_reply(request, is_stale, reserve)
@@ -152,6 +153,8 @@
             is_sent = sender.successful() and sender.value is None
             self._sender = None
             sender.kill()
+        if is_sent and reply.can_reuse:
+            await_slow_reader(self._sock, False)
         if is_sent or not reply.can_reuse:
             return reply
         # The server expects the rest of the body next, not another request.
--- a/src/pollenroad/shell/sockets.py
+++ b/src/pollenroad/shell/sockets.py
@@ -18,6 +18,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def await_slow_reader(sock, is_awaited: bool) -> None:
+    """Keep a connection open while its peer reads nothing, or no longer do so.
+
+    To the system, a peer that lives but does not read for `UNACKNOWLEDGED_MS` is a lost one.
+    """
+    timeout_ms = 0 if is_awaited else UNACKNOWLEDGED_MS
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def set_liveness_options(sock) -> None:
     """Disable Nagle's algorithm, and close a connection whose peer does not respond.
 
