Platform reader: what cannot be read is not asked for again

Cause: an answer to a watch over 8 MiB is refused, and the reader asked for the changes after the same revision again, which can only be longer.

Change: an answer that cannot be read (UnreadableAnswer) leads to a complete read in pages, without counting the platform as lost.

--- a/src/pollenroad/events.py
+++ b/src/pollenroad/events.py
@@ -201,6 +201,12 @@
         logging.WARNING,
         "An endpoint's lease expired; the endpoint is kept for some time.",
     ),
+    CatalogueEntry(
+        524,
+        "changes_unreadable",
+        logging.WARNING,
+        "Changes of the platform cannot be read, as they are too long; everything is read instead.",
+    ),
     CatalogueEntry(518, "item_refused", logging.WARNING, "An item from the platform is malformed."),
     CatalogueEntry(
         519, "watcher_changed", logging.INFO, "A daemon started or stopped watching the platform."
--- a/src/pollenroad/exceptions.py
+++ b/src/pollenroad/exceptions.py
@@ -45,6 +45,13 @@
     """The platform could not be read."""
 
 
+class UnreadableAnswer(PlatformError):  # noqa: N818 (a property of the answer)
+    """The platform answered, but with something that cannot be read, as it is too long.
+
+    The same request would lead to the same answer.
+    """
+
+
 class HistoryLost(PlatformError):  # noqa: N818 (a state of the platform, not an error)
     """The platform no longer has the changes that were requested."""
 
--- a/src/pollenroad/proxy/directory_reader.py
+++ b/src/pollenroad/proxy/directory_reader.py
@@ -13,7 +13,12 @@
 import gevent
 from gevent.event import Event as Flag
 
-from pollenroad.exceptions import ExchangeError, HistoryLost, PlatformError
+from pollenroad.exceptions import (
+    ExchangeError,
+    HistoryLost,
+    PlatformError,
+    UnreadableAnswer,
+)
 from pollenroad.logs import log
 from pollenroad.proxy.boundary import (
     DirectoryChanged,
@@ -56,6 +61,9 @@
 class Source(Protocol):
     """A platform to read."""
 
+    on_progress: Callable[[], None]
+    """Called when a part of an answer has arrived, but that of a probe."""
+
     def read(self) -> DirectoryRead:
         """Read the complete contents.
 
@@ -69,6 +77,7 @@
 
         Raises:
             HistoryLost: If the platform no longer has the changes after that revision.
+            UnreadableAnswer: If they cannot be read; others may be among them.
             PlatformError: If the platform does not answer.
             ExchangeError: If the connection fails.
         """
@@ -104,6 +113,7 @@
     ):
         self.batch_delay_s = BATCH_SHARE * change_bound_s
         self._source = source
+        source.on_progress = self._progressed
         self._directory = directory
         self._post = post
         self._wanted = Flag()
@@ -141,10 +151,15 @@
         while True:
             self._wanted.wait()
             try:
-                self._retry(self._watch_once)
+                self._retry(self._watch_once, (HistoryLost, UnreadableAnswer))
             except HistoryLost as error:
                 self._post(DirectoryLost(str(error)))
                 self._retry(self._read)
+            except UnreadableAnswer as error:
+                # The next answer would hold the same changes and more; the contents have pages.
+                log("changes_unreadable", revision=self._directory.revision, reason=str(error))
+                self._retry(self._read)
+                gevent.sleep(self.batch_delay_s)
 
     def _watch_once(self) -> None:
         wait_s = WATCH_TIMEOUT_S
@@ -183,6 +198,10 @@
         self._has_read = True
         self._post(contents)
 
+    def _progressed(self) -> None:
+        """Note a part of an answer, which may take longer than a probe of the platform."""
+        self._answered_at = time.monotonic()
+
     def _answered(self) -> None:
         self._answered_at = time.monotonic()
         self._is_lost = False
@@ -203,6 +222,9 @@
     def _probe(self) -> None:
         try:
             position = self._source.probe()
+        except UnreadableAnswer:
+            self._answered_at = time.monotonic()  # A sign of life.
+            return
         except (PlatformError, ExchangeError) as error:
             if self._wanted.is_set() and not self._is_lost:
                 self._report_failure(error)
@@ -217,18 +239,16 @@
                 self._report_failure(PlatformError("a long poll misses changes"))
                 self._restart()
 
-    def _retry(self, step: Callable[[], None]) -> None:
-        """Repeat a step until it succeeds.
-
-        Raises:
-            HistoryLost: If the step raises it; it is not repeated.
-        """
+    def _retry(
+        self, step: Callable[[], None], final: tuple[type[PlatformError], ...] = (HistoryLost,)
+    ) -> None:
+        """Repeat a step until it succeeds, or raises one of the `final` errors."""
         pause_s = RETRY_MIN_S
         while True:
             try:
                 step()
                 return
-            except HistoryLost:
+            except final:
                 raise
             except (PlatformError, ExchangeError) as error:
                 self._report_failure(error)
--- a/src/pollenroad/proxy/http1.py
+++ b/src/pollenroad/proxy/http1.py
@@ -78,6 +78,7 @@
         self._address = address
         self._limits = limits
         self._unread = b""
+        self._on_data: Callable[[], None] = lambda: None
         self._sender: gevent.Greenlet | None = None
         """Task that sends a long body, and its result; None if the body was sent at once."""
 
@@ -103,6 +104,7 @@
         body: bytes = b"",
         is_stale: Callable[[Reply], bool] = lambda reply: False,
         reserve: Callable[[int], Grant] | None = None,
+        on_data: Callable[[], None] = lambda: None,
     ) -> Reply:
         """Send a request and read its complete answer.
 
@@ -113,6 +115,7 @@
             body: Body, sent with Content-Length.
             is_stale: Returns whether an answer belongs to an earlier request and must be skipped.
             reserve: Waits for the space of a long body, given its length in bytes.
+            on_data: Called when a part of the answer has arrived.
 
         Raises:
             ExchangeError: If the answer is incomplete, not valid HTTP or exceeds a bound; the
@@ -127,6 +130,7 @@
             head = _encode_head(request)
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise ExchangeError(f"request cannot be sent: {error}", reached=False) from error
+        self._on_data = on_data
         try:
             if len(body) < SEPARATE_SEND_BYTES:
                 self._sock.sendall(head + body)
@@ -204,6 +208,7 @@
                         wait_read(self._sock.fileno())
                         data = self._sock.recv(READ_BYTES)
                         has_ended = not data
+                        self._on_data()
                         parser.receive(data)
         except OSError as error:
             if parser.has_head:
--- a/src/pollenroad/shell/tasks.py
+++ b/src/pollenroad/shell/tasks.py
@@ -1,4 +1,4 @@
-"""Tasks that must not end: an unexpected error is logged, and the task goes on."""
+"""Tasks that must not end, or must not wait for ever."""
 
 from collections.abc import Callable
 
@@ -33,6 +33,35 @@
     return gevent.spawn(supervise)
 
 
+class SilenceTimeout:
+    """Timeout of the work in a `with` statement that starts anew whenever there is progress.
+
+    Args:
+        first_s: Time until the first progress, in seconds.
+        next_s: Time between two signs of progress, in seconds.
+
+    Raises:
+        gevent.Timeout: In the task that entered it.
+    """
+
+    def __init__(self, first_s: float, next_s: float):
+        self._first_s = first_s
+        self._next_s = next_s
+        self._timeout: gevent.Timeout | None = None
+
+    def __enter__(self):
+        self._timeout = gevent.Timeout.start_new(self._first_s)
+        return self
+
+    def __exit__(self, *error):
+        self._timeout.close()
+
+    def restart(self) -> None:
+        """Start the timeout anew; called by the task that entered it."""
+        self._timeout.close()
+        self._timeout = gevent.Timeout.start_new(self._next_s)
+
+
 class TurnCounter:
     """Lets other tasks run once in `STEPS_PER_TURN` steps of a task that may never have to wait."""
 
--- a/tests/proxy/test_directory_reader.py
+++ b/tests/proxy/test_directory_reader.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.event import Event as Flag
 
-from pollenroad.exceptions import PlatformError
+from pollenroad.exceptions import PlatformError, UnreadableAnswer
 from pollenroad.proxy import directory_reader
 from pollenroad.proxy.boundary import DirectoryChanged, DirectoryLost, DirectoryRead, Position
 from pollenroad.proxy.directory import make_directory
@@ -29,6 +29,9 @@
         self.errors: list[Exception] = []
         """Raised by the next reads and long polls."""
         self.polls = 0
+        self.unreadable_after: set[int] = set()
+        """Revisions after which the changes cannot be read."""
+        self.is_probe_unreadable = False
 
     def read(self) -> DirectoryRead:
         if self.errors:
@@ -39,6 +42,8 @@
         self.polls += 1
         if self.errors:
             raise self.errors.pop()
+        if after in self.unreadable_after:
+            raise UnreadableAnswer("answer too long")
         while self.is_deaf or after >= self.revision:
             gevent.sleep(BRIEF_S)
             if wait_s < 1.0 and not self.is_deaf:
@@ -48,6 +53,8 @@
     def probe(self) -> Position:
         if self.is_silent:
             raise PlatformError("no answer in time")
+        if self.is_probe_unreadable:
+            raise UnreadableAnswer("answer too long")
         return Position(self.epoch, self.revision)
 
     def close(self) -> None:
@@ -104,6 +111,33 @@
         self.assertEqual(self.platform.polls, 1)
         self.assertFalse(self.directory.is_lost)
 
+    def test_changes_that_cannot_be_read_are_not_asked_for_again(self):
+        """The answer held more each time, and nothing was learned until the history was gone."""
+        self.platform.is_deaf = False
+        self._start()
+        self.platform.unreadable_after = {1}
+        self.platform.revision = 2
+        self._await(lambda: self.directory.revision == 2)
+        self.assertNotIn(DirectoryLost, [type(event) for event in self.events])
+        self.platform.revision = 3
+        self._await(lambda: self.directory.revision == 3)
+        self.assertIsInstance(self.events[-1], DirectoryChanged)
+
+    def test_a_probe_that_cannot_be_read_is_a_sign_of_life(self):
+        self.platform.is_probe_unreadable = True
+        self._start()
+        gevent.sleep(20 * BRIEF_S)
+        self.assertEqual((self.platform.polls, self.directory.is_lost), (1, False))
+
+    def test_a_long_poll_whose_answer_arrives_slowly_is_left_alone(self):
+        """An answer that took longer than a second was broken off, and asked for again."""
+        self._start()
+        self.platform.revision = 2
+        for _ in range(40):
+            self.platform.on_progress()
+            gevent.sleep(BRIEF_S / 4)
+        self.assertEqual(self.platform.polls, 1)
+
     def test_an_unexpected_error_does_not_end_the_reader(self):
         self.platform.is_deaf = False
         self.platform.errors = [ValueError("of a long poll"), ValueError("of the first read")]
--- a/tests/users/store.py
+++ b/tests/users/store.py
@@ -9,6 +9,9 @@
 
 from tests.users.raw_http import answer_bytes, read_message
 
+PAGE_ITEMS, PAGE_BYTES = 500, 1_000_000
+"""Length of a page, which an item of any length may exceed."""
+
 
 class _Server(ThreadingTCPServer):
     allow_reuse_address = True
@@ -124,8 +127,14 @@
     def _range(self, query: dict[str, str]) -> dict:
         after = query.get("after", "")
         keys = sorted(k for k in self._item_by_key if k.startswith(query["prefix"]) and k > after)
-        items = [self._item_by_key[key] for key in keys[:500]]
-        return {"items": items, "truncated": len(keys) > 500, "current_rev": self._revision}
+        items, page_bytes = [], 0
+        for key in keys[:PAGE_ITEMS]:
+            if page_bytes > PAGE_BYTES:
+                break
+            items.append(self._item_by_key[key])
+            page_bytes += len(items[-1]["value"])
+        is_truncated = len(items) < len(keys)
+        return {"items": items, "truncated": is_truncated, "current_rev": self._revision}
 
     def _watch(self, query: dict[str, str]) -> tuple[int, dict]:
         after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
