Links: updates of the directory and short bodies do not wait for space

Cause: a frame of over 64 KiB, compressed or not, waited for space on the ordinary link; a compressed one for twice the longest frame, since its length is unknown. It is meant for long bodies of earlier builds. A body of 64 KiB waited likewise, as its head makes its frame longer.

Evidence: two tests of test_long_links, which time out after 5 s without the change.

--- a/src/pollenroad/shell/frames.py
+++ b/src/pollenroad/shell/frames.py
@@ -242,15 +242,18 @@
 
 
 def read_body(
-    stream, max_bytes: int = MAX_FRAME_BYTES, reserve: Callable[[int], None] = lambda count: None
+    stream,
+    max_bytes: int = MAX_FRAME_BYTES,
+    reserve: Callable[[int], None] = lambda count: None,
+    reserve_unpacked: Callable[[int], None] = lambda count: None,
 ) -> bytes | None:
     """Read the body of one frame from a buffered binary stream.
 
     Args:
         stream: Object with a blocking `read(count)`.
         max_bytes: Longest accepted body, in bytes, before and after decompression.
-        reserve: Called before a body over `LONG_FRAME_BYTES` is read or decompressed, with the
-            bytes that it takes.
+        reserve: Called before a body over `LONG_FRAME_BYTES` is read, with the bytes that it takes.
+        reserve_unpacked: The same before one is decompressed.
 
     Returns:
         The body, decompressed, or None at the end of the stream.
@@ -270,7 +273,7 @@
     data = _read_exactly(stream, length)
     if data is None or not field & COMPRESSED_FLAG:
         return data
-    return _decompress(data, max_bytes, reserve)
+    return _decompress(data, max_bytes, reserve_unpacked)
 
 
 def read_message(stream, max_bytes: int = MAX_FRAME_BYTES) -> PeerMessage | None:
--- a/src/pollenroad/shell/peer_link.py
+++ b/src/pollenroad/shell/peer_link.py
@@ -15,6 +15,9 @@
 from pollenroad.shell.frames import (
     COMPRESSED_PROTOCOL,
     LENGTH_PREFIX_BYTES,
+    LONG_FRAME_BYTES,
+    LONG_FRAMES_PROTOCOL,
+    MAX_LONG_HEAD_BYTES,
     decode_message,
     encode_frame,
     read_body,
@@ -25,6 +28,10 @@
 MAX_OUTBOX_BYTES = 33_554_432
 """Number of bytes queued for one peer above which its link is closed."""
 
+MAX_UNRESERVED_BYTES = LONG_FRAME_BYTES + MAX_LONG_HEAD_BYTES
+"""Longest frame that is read without space for it, from a peer with links for long frames, in bytes.
+"""
+
 MAX_NONBLOCKING_BYTES = 65_536
 """Longest frame that is written without a task switch, in bytes."""
 
@@ -46,6 +53,7 @@
         self.protocol = hello.protocol
         self.end_error: OSError | None = None
         """Error that ended the link; None if it was closed."""
+        self._has_long_links = hello.protocol >= LONG_FRAMES_PROTOCOL
         self._uses_compression = hello.protocol >= COMPRESSED_PROTOCOL
         self._meter = meter
         self._memory = memory
@@ -144,7 +152,9 @@
 
     def _read_next(self, on_message: Callable) -> bool:
         try:
-            body = read_body(self._stream, reserve=self._reserve)
+            body = read_body(
+                self._stream, reserve=self._reserve, reserve_unpacked=self._reserve_unpacked
+            )
             if body is None:
                 return False
             message, grant = self._decode(body), self._grant
@@ -155,14 +165,23 @@
         return True
 
     def _reserve(self, count: int) -> None:
-        """Wait for space for a long frame; only daemons of earlier builds send them here."""
-        if self._memory is None:
+        """Wait for space for a long frame; only daemons of earlier builds send bodies in them.
+
+        All other frames of the link wait meanwhile, so that none is kept back by an update of the
+        directory, or by a body of `LONG_FRAME_BYTES` with its head.
+        """
+        if self._memory is None or (self._has_long_links and count <= MAX_UNRESERVED_BYTES):
             return
         try:
             self._grant = self._memory.reserve_frame(not self._is_dialled, count)
         except NoSpaceError as error:
             raise PeerError(str(error)) from error
 
+    def _reserve_unpacked(self, count: int) -> None:
+        """Wait for space for a frame of unknown length; see `_reserve`."""
+        if not self._has_long_links:
+            self._reserve(count)
+
     def _decode(self, body: bytes) -> PeerMessage:
         start = time.thread_time()
         message = decode_message(body)
--- a/tests/test_long_links.py
+++ b/tests/test_long_links.py
@@ -1,5 +1,6 @@
 """Links for long frames: no small frame waits for a long one, and refusals are true."""
 
+import random
 import socket
 import struct
 import unittest
@@ -13,8 +14,16 @@
 from pollenroad.proxy.memory.account import AccountLimits, Purpose
 from pollenroad.proxy.memory.links import LinkSpace
 from pollenroad.proxy.memory.space import Space
+from pollenroad.relay_messages import DirectoryNews
 from pollenroad.shell import peers as peers_module
-from pollenroad.shell.frames import MAX_FRAME_BYTES, body_of, encode_frame, read_message
+from pollenroad.shell.frames import (
+    LONG_FRAME_BYTES,
+    MAX_FRAME_BYTES,
+    body_of,
+    encode_body,
+    encode_frame,
+    read_message,
+)
 from pollenroad.shell.long_links import ATTEMPTS, NO_MEMORY
 from pollenroad.shell.peers import Identity, Peers
 from tests.users.fleet import free_ports
@@ -112,6 +121,23 @@
         grant.release()
         self._check(self._received(1, 2)[1:], attempt(1))
 
+    def test_an_update_of_the_directory_does_not_wait_for_space(self):
+        """It kept back all requests on its link for 10 s, and then the link was closed."""
+        grant = self._fill(1, Purpose.GUARD_REQUESTS)
+        update = DirectoryNews(after=0, revision=7, removed=("x" * 20_000,) * 20)
+        self.assertGreater(len(encode_body(update)), LONG_FRAME_BYTES)
+        self._send(0, update, attempt(1, b"small"))
+        received = self._received(1, 2)
+        self.assertEqual((received[0].revision, received[1].attempt_id), (7, "a-1"))
+        self.assertIsNotNone(grant)
+
+    def test_a_body_that_is_not_long_does_not_wait_for_space_with_its_head(self):
+        grant = self._fill(1, Purpose.GUARD_REQUESTS)
+        body = random.Random(1).randbytes(LONG_FRAME_BYTES)
+        self._send(0, attempt(1, body), attempt(2, b"small"))
+        self.assertCountEqual([m.attempt_id for m in self._received(1, 2)], ["a-1", "a-2"])
+        self.assertIsNotNone(grant)
+
     def test_an_attempt_without_space_in_its_time_is_answered_as_not_run(self):
         grant = self._fill(1, Purpose.GUARD_REQUESTS)
         self._send(0, attempt(1, remaining_ms=20.0))
