Own interface: bound heads and bodies of responses

Seen (by test; a report from another operator): a server that sent a body without end, or chunks of one byte, was read until the time limit of the exchange, and all of it was kept.

Cause: StrictResponse bounded lines, not the head, and read bodies without a bound.

Change: 128 KiB a head, 8 MiB a body, chunk sizes as on the users' platform.

--- a/src/pollenroad/strict_http.py
+++ b/src/pollenroad/strict_http.py
@@ -33,6 +33,18 @@
 MAX_LINES = 101
 """Most lines of a head or of trailers, as in `http.client`."""
 
+MAX_HEAD_BYTES = 131_072
+"""Longest head or trailers, in bytes: a longer one is no response, but bytes without end."""
+
+MAX_BODY_BYTES = 8_388_608
+"""Longest body, in bytes. A frame between daemons holds no more."""
+
+MAX_FRAMING_BYTES = 65_536
+"""Bytes of chunk sizes and extensions in addition to `MAX_FRAMING_SHARE` of the body."""
+
+MAX_FRAMING_SHARE = 0.25
+"""Further such bytes that are allowed, as a share of the body."""
+
 READ_BYTES = 1_048_576
 """Largest single read of a body, in bytes, so that memory follows what has arrived rather than the
 length that a head states."""
@@ -105,11 +117,15 @@
     def _read_lines(self) -> list[bytes]:
         """Read the lines of a head or of trailers up to the empty one, without their ends."""
         lines: list[bytes] = []
+        left_bytes = MAX_HEAD_BYTES
         while len(lines) <= MAX_LINES:
             line = self._read_line().removesuffix(b"\n").removesuffix(b"\r")
             if not line:
                 return lines
             lines.append(line)
+            left_bytes -= len(line)
+            if left_bytes < 0:
+                raise MalformedResponse(f"more than {MAX_HEAD_BYTES} bytes in a head")
         raise MalformedResponse(f"more than {MAX_LINES} lines")
 
     def _read_line(self) -> bytes:
@@ -127,20 +143,32 @@
             return self._read_chunks()
         if self.length is not None:
             return self._read_exactly(self.length)
-        body = self.fp.read()
+        body = self._read_to_end()
         self._check_orderly_end()
         return body
 
-    def _read_chunks(self) -> bytes:
+    def _read_to_end(self) -> bytes:
         body = bytearray()
-        while length := chunk_length(self._read_line()):
+        while data := self.fp.read(READ_BYTES):
+            body += data
+            _check_length(len(body))
+        return bytes(body)
+
+    def _read_chunks(self) -> bytes:
+        body, framing_bytes = bytearray(), 0
+        while length := chunk_length(line := self._read_line()):
+            _check_length(len(body) + length)
             body += self._read_exactly(length)
+            framing_bytes += len(line) + 2
+            if framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_SHARE * len(body):
+                raise MalformedResponse("too many bytes apart from the body")
             if self._read_line() not in (b"\r\n", b"\n"):
                 raise MalformedResponse("a chunk is longer than its size")
         check_fields(parse_fields(self._read_lines()))
         return bytes(body)
 
     def _read_exactly(self, count: int) -> bytes:
+        _check_length(count)
         body = bytearray()
         while len(body) < count:
             data = self.fp.read(min(count - len(body), READ_BYTES))
@@ -214,6 +242,11 @@
     return str(cause) if isinstance(cause, http.client.HTTPException) else ""
 
 
+def _check_length(count: int) -> None:
+    if count > MAX_BODY_BYTES:
+        raise MalformedResponse(f"a body of over {MAX_BODY_BYTES} bytes")
+
+
 @contextmanager
 def _rejecting() -> Iterator[None]:
     """Turn a malformed response into an exception that urllib3 handles."""
--- a/tests/proxy/test_endless_streams.py
+++ b/tests/proxy/test_endless_streams.py
@@ -5,14 +5,22 @@
 
 import gevent
 from gevent import socket as gsocket
+from gevent.event import AsyncResult
 from gevent.server import StreamServer
 
+from pollenroad.boundary import ServerFailed
 from pollenroad.exceptions import ExchangeError
+from pollenroad.messages import Attempt, Request
 from pollenroad.proxy.http1 import ClientConnection
+from pollenroad.shell.upstream import Upstream
 
 CONNECT_TIMEOUT_S = 5.0
 EXCHANGE_TIMEOUT_S = 3.0
 MEMORY_SLACK_BYTES = 2_097_152
+OWN_INTERFACE_BYTES = 3 * 8_388_608
+"""A body of the product's own interface exists up to three times while it is put together."""
+
+OWN_INTERFACE_TIMEOUT_S = 30.0
 STATED_BODY_BYTES = 2 * 8_388_608
 """A body exists twice when it is complete: in the parser's buffer and in the answer."""
 
@@ -98,6 +106,38 @@
                 self.assertLessEqual(reads, 3, "reads without a turn for other tasks")
                 self.assertLess(peak_bytes, STATED_BODY_BYTES + MEMORY_SLACK_BYTES)
 
+    def _exchange_own(self, beginning: bytes, repeated: bytes) -> str:
+        """Return how an exchange of a guard of the product's own interface ends."""
+        server = _serve_endlessly(beginning, repeated)
+        address, result = f"127.0.0.1:{server.server_port}", AsyncResult()
+        try:
+            upstream = Upstream(address, result.set)
+            request = Request("GET", "/", ())
+            upstream.run(
+                Attempt("a-1", "r-1", "w/s", "c", "read", True, 1000.0, request),
+                OWN_INTERFACE_TIMEOUT_S,
+            )
+            event = result.get(timeout=OWN_INTERFACE_TIMEOUT_S)
+        finally:
+            server.stop()
+        self.assertIsInstance(event, ServerFailed)
+        return event.reason
+
+    def test_an_endless_stream_ends_at_a_bound_in_the_own_interface(self):
+        """A guard kept a body until it had no memory left."""
+        whole = "answers to other requests"  # Responses carry no id here.
+        streams = {name: stream for name, stream in STREAMS.items() if name != whole}
+        for name, (beginning, repeated) in streams.items():
+            with self.subTest(stream=name):
+                tracemalloc.start()
+                try:
+                    reason = self._exchange_own(beginning, repeated)
+                    _, peak_bytes = tracemalloc.get_traced_memory()
+                finally:
+                    tracemalloc.stop()
+                self.assertNotEqual(reason, "deadline", "only the timeout of the exchange ended it")
+                self.assertLess(peak_bytes, OWN_INTERFACE_BYTES + MEMORY_SLACK_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/users/server.py
+++ b/tests/users/server.py
@@ -16,6 +16,20 @@
 
 INFORMATIONAL_ANSWERS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 500
 
+OK_HEAD = b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"
+ENDLESS = {
+    "endless": (b"", INFORMATIONAL_ANSWERS),
+    "endless-noise": (b"", bytes(range(256)) * 256),
+    "endless-line": (OK_HEAD + b"X-Long: ", b"a" * 65_536),
+    "endless-head": (OK_HEAD, b"X-Field: value\r\n" * 4_096),
+    "endless-body": (OK_HEAD + b"\r\n", b"b" * 65_536),
+    "endless-chunks": (OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 8_192),
+    "endless-trailers": (
+        OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-Field: value\r\n" * 4_096
+    ),
+}  # fmt: skip
+"""Faults that send until the connection is closed: how they begin, and what they repeat."""
+
 ODD_HEADS = {
     "status-000": (b" 200 ", b" 000 "),
     "status-600": (b" 200 ", b" 600 "),
@@ -41,8 +55,8 @@
     Attributes:
         fault: Empty, or the fault of its answers: `cut`, `cut-head`, `extra`, `unsigned`, `other`,
             `encoded`, `refuse` (503 that does not state that the request has not run), `shed` (503
-            that states it), `error` (500), `reset`, `silent`, `unframed`, `endless` (informational
-            answers until the connection is closed), `late-copy` (each answer once more when the
+            that states it), `error` (500), `reset`, `silent`, `unframed`, one of `ENDLESS`,
+            `late-copy` (each answer once more when the
             next request has arrived), `shed-copy` (the same, and every other request is refused
             with its id, as not run), `early-reset` (an answer without a length that breaks off by
             a reset while its request is being sent), or one of `ODD_HEADS`.
@@ -223,9 +237,11 @@
                 return None
             case "silent":
                 time.sleep(30)
-            case "endless":
+            case endless if endless in ENDLESS:
+                beginning, repeated = ENDLESS[endless]
+                handler.wfile.write(beginning)
                 while True:
-                    handler.wfile.write(INFORMATIONAL_ANSWERS)
+                    handler.wfile.write(repeated)
             case "unframed" | "early-reset":
                 return answer_bytes(200, fields | {"Connection": "close"}, body, framed=False)
         return whole
--- a/tests/users/test_users_memory.py
+++ b/tests/users/test_users_memory.py
@@ -13,6 +13,7 @@
 
 from tests.users.fleet import CALL, METRICS, UsersFleet, await_condition, configuration
 from tests.users.raw_http import call, request_bytes
+from tests.users.server import ENDLESS
 
 MIB = 1_048_576
 GROUP = 12
@@ -192,6 +193,22 @@
         print("uploads by status", statuses)
         self._check(UPLOADS)
 
+    def test_servers_that_send_without_end(self):
+        """A caller on another system kept all such bytes until it ran out of memory."""
+        beta = next(h for h in self.fleet.hosts if self.fleet.service(h) == "beta")
+        for fault in ENDLESS:
+            self.fleet.server_by_host[beta].fault = fault
+            threads = []
+            for number in range(GROUP):
+                host = self.fleet.hosts[number % len(self.fleet.hosts)]
+                request = (host, "/beta/read/x", self._id())
+                threads.append(threading.Thread(target=self.fleet.request, args=request))
+                threads[-1].start()
+            for thread in threads:
+                thread.join()
+        self.fleet.server_by_host[beta].fault = ""
+        self._check(GROUP)
+
     # A reference in a task that lives as long as a link kept the last message counted for ever.
     def test_all_bytes_are_returned(self):
         group = self._open_group(2, MIB)
