Guard: do not wait for a health check that cannot be sent

Cause: without rules of its service no check is sent, and the timer for the end of the wait was set to a time in the past, which was handled again at once.

Evidence: the test of test_proxy_guard fails before (no attempt starts).

--- a/src/pollenroad/proxy/guard.py
+++ b/src/pollenroad/proxy/guard.py
@@ -205,7 +205,7 @@
             if token_wait_s := self.policy.request_rate.wait_s(1, now):
                 self._timers.set(("fill", ""), now + token_wait_s)
                 return
-            if self._health.should_await_check(now):
+            if self.local.rules and self._health.should_await_check(now):
                 yield from self._check(now)
                 self._timers.set(("fill", ""), self._health.check_wait_until())
                 return
--- a/tests/proxy/test_proxy_guard.py
+++ b/tests/proxy/test_proxy_guard.py
@@ -74,6 +74,17 @@
         self.assertEqual([r.reason for r in attempt_answers(actions)], ["not-here"])
 
 
+class UndeclaredServiceTest(unittest.TestCase):
+    def test_a_guard_whose_service_is_not_declared_does_not_wait_for_a_health_check(self):
+        """None can be sent; the timer for its end was set to the past, and the guard spun."""
+        guard = guard_with(endpoint(1))
+        guard.local.service = "undeclared"
+        run_until(guard, 0.0, 0.0)
+        actions = send_attempt(guard, 0.05)
+        self.assertEqual(len(of_kind(actions, RunAtServer)), 1)
+        self.assertGreater(guard.next_due(), 0.05)
+
+
 class NoNewWorkTest(unittest.TestCase):
     def _reason(self, guard, **changes) -> str:
         (refusal,) = attempt_answers(send_attempt(guard, 1.0, number=50, **changes))
