Registrations: a `draining` that was written later counts, whatever the clock of its start says

Cause: registrations of one id are ordered by the time of day of their start, and the clock had jumped back in between.

Change: such a registration still is refused, but if it was written later and says that it leaves, the endpoint is not used. Should it be a late write of an earlier start, the next heartbeat of the other one brings it back.

Evidence: test_proxy_directory, one test that fails before, and one that shows the return.

--- a/src/pollenroad/proxy/registrations.py
+++ b/src/pollenroad/proxy/registrations.py
@@ -128,6 +128,10 @@
         before = self._endpoint_by_incarnation.get(incarnation)
         if before is not None and _start_order(endpoint) < _start_order(before):
             yield _refused(endpoint, before)
+            if endpoint.is_leaving and _was_written_later(endpoint, before):
+                # Its clock may have jumped back since the start before; if not, the other start
+                # writes again at its next heartbeat.
+                yield from self._set_leaving(before)
             return
         self._forget_doubts(incarnation)
         if before is not None and _is_copy_of_leaving(endpoint, before):
@@ -138,6 +142,14 @@
         if is_new or before.is_leaving != endpoint.is_leaving:
             yield _registered(endpoint)
 
+    def _set_leaving(self, endpoint: RegisteredEndpoint) -> Iterator[Record]:
+        """Use an endpoint no longer, as another start under its id says that it leaves."""
+        if not endpoint.is_leaving:
+            endpoint = replace(endpoint, is_leaving=True)
+            self._endpoint_by_incarnation[endpoint.incarnation] = endpoint
+            self._is_indexed = False
+            yield _registered(endpoint)
+
     def apply(
         self, changes: Sequence[RegisteredEndpoint | EndpointRemoved], now: float
     ) -> Iterator[Record]:
@@ -275,6 +287,11 @@
     return endpoint.born_ms, endpoint.epoch, endpoint.revision
 
 
+def _was_written_later(endpoint: RegisteredEndpoint, before: RegisteredEndpoint) -> bool:
+    """Return whether a registration was written after another one, whatever their starts state."""
+    return (endpoint.epoch, endpoint.revision) > (before.epoch, before.revision)
+
+
 def _is_copy_of_leaving(endpoint: RegisteredEndpoint, before: RegisteredEndpoint) -> bool:
     """Return whether a registration is older than one that says that the same start leaves."""
     is_same_start = endpoint.born_ms == before.born_ms
--- a/tests/proxy/test_proxy_directory.py
+++ b/tests/proxy/test_proxy_directory.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from pollenroad.proxy.boundary import DirectoryChanged, DirectoryLost, EndpointRemoved
 from pollenroad.proxy.registrations import MASS_LAPSE_GRACE_S, RENEWAL_GRACE_S
@@ -129,6 +130,24 @@
         directory = directory_with(old, new, config=declaring(SERVICE, "other"))
         self.assertEqual(directory.endpoint_at(old.server).incarnation, "i-2")
 
+    def test_an_endpoint_whose_clock_jumped_back_before_its_start_can_leave(self):
+        """Its `draining` was taken for one of an earlier start, and it got requests to its end."""
+        directory = directory_with(endpoint(1, born_ms=2_000), endpoint(2))
+        restarted = endpoint(1, born_ms=1_000, revision=20)
+        directory.handle(DirectoryChanged(20, (restarted,)), 1.0)
+        leaving = replace(restarted, is_leaving=True, revision=30)
+        directory.handle(DirectoryChanged(30, (leaving,)), 2.0)
+        self.assertEqual([e.incarnation for e in directory.endpoints(SERVICE)], ["i-2"])
+        directory.handle(DirectoryChanged(40, (EndpointRemoved("i-1"),)), 3.0)
+        self.assertEqual([e.incarnation for e in directory.all_endpoints()], ["i-2"])
+
+    def test_a_late_draining_of_an_earlier_start_holds_until_the_next_heartbeat(self):
+        directory = directory_with(endpoint(1, born_ms=2_000))
+        late = endpoint(1, born_ms=1_000, is_leaving=True, revision=20)
+        directory.handle(DirectoryChanged(20, (late,)), 1.0)
+        directory.handle(DirectoryChanged(30, (endpoint(1, born_ms=2_000, revision=30),)), 2.0)
+        self.assertEqual([e.incarnation for e in directory.endpoints(SERVICE)], ["i-1"])
+
     def test_an_endpoint_whose_address_is_reused_by_a_newer_one_gets_no_work(self):
         old = endpoint(1, born_ms=1_000)
         directory = directory_with(old, config=declaring(SERVICE, "other"))
