Arrivals: remember all attempt ids for the same time

They are forgotten in their order of arrival, so that one with a long timeout kept all later ones, up to the limit at which new attempts get no answer.

--- a/src/pollenroad/proxy/arrivals.py
+++ b/src/pollenroad/proxy/arrivals.py
@@ -7,8 +7,8 @@
 from pollenroad.messages import Attempt
 
 LONGEST_DEADLINE_S = 15.0
-"""Longest deadline of most attempts, in seconds; attempt ids are remembered for longer than that.
-"""
+"""Deadline of an attempt by which its id is remembered, in seconds: the same for all of them, since
+ids are forgotten in the order in which they came."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +41,8 @@
         """Record an attempt; return None if it is repeated, cancelled, or cannot be remembered."""
         if attempt.attempt_id in self._seen or self._seen.is_full(now):
             return None
+        self._seen.add(attempt.attempt_id, LONGEST_DEADLINE_S, now)
         left_s = attempt.remaining_ms / 1000
-        self._seen.add(attempt.attempt_id, max(LONGEST_DEADLINE_S, left_s), now)
         transit = self._transit_times.transit(attempt, now, self._suspended_s())
         return Arrival(left_s - transit.least_s, left_s <= transit.most_s)
 
