Fuzzing of responses: the fake socket takes the option of slow readers

The proxy's reader sets TCP_USER_TIMEOUT while it sends a long body, and the fake socket had no setsockopt; every case with an upload raised AttributeError. The product is not at fault; the fake checks the option, and no check of the test has changed.

--- a/tests/fuzz/responses.py
+++ b/tests/fuzz/responses.py
@@ -177,6 +177,10 @@
         assert option == socket.SO_ERROR
         return errno.EPIPE if self._case.end == HIDDEN_RESET else 0
 
+    def setsockopt(self, _level: int, option: int, _value: int) -> None:
+        """Accept how long sent data may stay unacknowledged."""
+        assert option == socket.TCP_USER_TIMEOUT
+
     def makefile(self, _mode: str) -> io.BufferedReader:
         """Return a stream of what arrives."""
         return io.BufferedReader(_RawStream(self))
