Uploads: a short silence at the end of a time limit is no lack of progress

Cause: the wait for bytes ends with the time limit; if no byte came in what was left of it, the upload was refused without asking whether enough had come before.

Evidence: the test of test_caller_connection gets 408 before, 200 now.

--- a/src/pollenroad/proxy/exchanges.py
+++ b/src/pollenroad/proxy/exchanges.py
@@ -110,14 +110,18 @@
         in each such time.
         """
         now = time.monotonic()
-        has_progress = self.head is not None and self._window_bytes >= MIN_PROGRESS_BYTES
-        if not self._window_end or (has_progress and now >= self._window_end):
+        if not self._window_end or (self.has_progress and now >= self._window_end):
             self._window_end, self._window_bytes = now + timeout_s, 0
         if now < self._window_end:
             return self._window_end - now
         self._overdue_reads += 1
         return 0.0 if self._overdue_reads <= MAX_OVERDUE_READS else None
 
+    @property
+    def has_progress(self) -> bool:
+        """Whether enough of a body has arrived in the current time limit."""
+        return self.head is not None and self._window_bytes >= MIN_PROGRESS_BYTES
+
     def add_body(self, data: bytes) -> None:
         """Add a part of the body."""
         self._body.write(data)
--- a/src/pollenroad/proxy/request_reader.py
+++ b/src/pollenroad/proxy/request_reader.py
@@ -166,6 +166,8 @@
                     continue
                 if not partial.has_bytes and self._has_open_requests():
                     continue
+                if partial.has_progress and wait_s:
+                    continue  # Only the rest of the time limit has passed without a byte.
                 if partial.has_bytes:
                     self._refuse(partial, "header-timeout", "the request arrived too slowly")
                 return None
--- a/tests/proxy/test_caller_connection.py
+++ b/tests/proxy/test_caller_connection.py
@@ -18,6 +18,7 @@
 from pollenroad.proxy.callers import Callers
 from pollenroad.proxy.dialect import Dialect
 from pollenroad.proxy.memory.account import Purpose
+from pollenroad.published import CallerLimits
 from pollenroad.verdicts import Verdict
 from tests.users.raw_http import read_message, request_bytes
 
@@ -125,6 +126,17 @@
                 self._answer(event)
             self._await_arrived(6)
 
+    def test_an_upload_with_progress_is_not_refused_for_a_short_silence(self):
+        """It was, if no byte came in what happened to be left of a time limit."""
+        self.callers.limits = CallerLimits(header_timeout_s=1.0)
+        part, count = b"u" * 2_048, 4
+        head = f"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: {count * len(part)}\r\n\r\n"
+        self.sock.sendall(head.encode())
+        for _ in range(count):
+            gevent.sleep(0.55)
+            self.sock.sendall(part)
+        self.assertEqual(self._read()[0], 200)
+
     # Three callers that announced long bodies and sent a byte now and then held all space.
     def test_a_slow_upload_gives_way_to_others_that_wait_for_space(self):
         self.callers.limits = replace(self.callers.limits, max_body_bytes=9_000_000)
