--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -3,6 +3,7 @@
 import json
 import os
 import shlex
+import signal
 import socket
 import subprocess
 import sys
@@ -22,6 +23,9 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 """Exit codes of a case: the rule was broken, it held, or the case could not run."""
 
+_processes: list[subprocess.Popen] = []
+"""All processes that the case has started."""
+
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -40,7 +44,7 @@
         environment = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
         environment |= {"POLLENROAD_SETTINGS": str(settings), "PYTHONPATH": "target/deps"}
         with self.log_by_host[host].open("ab") as log:
-            self.process_by_host[host] = subprocess.Popen(
+            self.process_by_host[host] = start_process(
                 RUN, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
@@ -70,9 +74,25 @@
         self._file.flush()
 
 
+def start_process(command: list[str], **options) -> subprocess.Popen:
+    """Start a process, which is killed when the case is stopped."""
+    process = subprocess.Popen(command, **options)
+    _processes.append(process)
+    return process
+
+
+def _end(_number: int, _frame: object) -> None:
+    """Kill the processes of a case that is stopped, and exit."""
+    for process in _processes:
+        if process.poll() is None:
+            process.kill()
+    os._exit(NOT_RUN)
+
+
 def run_case(case: str, play: Callable[[Record], bool]) -> None:
     """Run a case and exit; `play` returns whether the rule was broken."""
     record = Record(case)
+    signal.signal(signal.SIGTERM, _end)
     try:
         is_broken = play(record)
     except Exception as error:
@@ -125,5 +145,3 @@
         received += len(data)
         time.sleep(max(0.0, started + received / bytes_per_s - time.monotonic()))
     return b"".join(parts)
-
-
