Review, case 12: requests reach an endpoint after the bound of its removal

The watching daemon of a zone had just connected to the store anew. 8 to 14 requests come 2.0 to 2.45 s after the removal.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,16 +1,16 @@
-"""Clients outside anyone's control that pipeline short requests on many connections.
+"""An endpoint leaves while the daemon that watches the store for its zone connects to it anew.
 
-The platform stand-in kills a daemon whose memory is over that of its machine, and starts it again.
-With TROUBLE=0, each of the same connections sends one request.
+Zone a has three machines: one whose daemon watches the store, one with the endpoint that leaves,
+and one whose clients send the requests. The endpoint's entry is removed, and it goes on serving. Just
+before that, the connections of the watching daemon to the store are reset, once. With TROUBLE=0,
+they aren't.
 """
 
-import os
-import selectors
-import subprocess
+import json
 import sys
 import threading
 import time
-from collections import Counter
+import zlib
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -25,167 +25,137 @@
     run_case,
 )
 
-SUBNET = 212
-VMS = 3
-ATTACKED = 2
-"""VMs whose daemons get the connections."""
-CLIENT_PROCESSES = 3
-"""Client processes for each such VM."""
-CONNECTIONS = 1_000
-"""Connections of one client process; 3,000 for a daemon, which has 3,900 descriptors for sockets."""
-PIPELINED_BYTES = 65_536
-"""Bytes of requests that are sent on each connection at once."""
-SERVICE_S = 0.8
-"""Work of a request at a server, in seconds; standings-read has 0.55 s."""
-MEMORY_MB = 300
-"""`memory_mb` of the site's machines."""
-ENDS = 3
-"""Ends of a process in the day from which its machine counts."""
-LONGEST_S = 85.0
-CALM_S = 25.0
-RESTART_DELAY_S = 1.0
-POLL_S = 0.05
-
-
-def _requests(number: int) -> bytes:
-    """Return distinct safe requests of about `PIPELINED_BYTES` in total."""
-    parts, count = [], 0
-    while count < PIPELINED_BYTES:
-        request_id = f"h{os.getpid()}-{number}-{len(parts)}"
-        parts.append(head_of_request("GET", "/alpha/read/x", request_id, 2500))
-        count += len(parts[-1])
-    return b"".join(parts)[:PIPELINED_BYTES]
-
-
-def flood(host: str, port: int) -> None:
-    """Open the connections, send on each of them, and read what comes, until killed."""
-    selector = selectors.DefaultSelector()
-    for number in range(CONNECTIONS):
-        try:
-            sock = connect((host, port))
-        except OSError:
-            continue  # The daemon was killed meanwhile.
-        sock.setblocking(False)
-        requests = _requests(number)
-        first = requests[: requests.index(b"\r\n\r\n") + 4]
-        selector.register(sock, selectors.EVENT_READ)
-        try:
-            sock.send(requests if HAS_TROUBLE else first)
-        except OSError:
-            selector.unregister(sock)
-    while selector.get_map():
-        for key, _ in selector.select():
-            try:
-                data = key.fileobj.recv(65_536)
-            except BlockingIOError:
-                continue
-            except OSError:
-                data = b""
-            if not data:
-                selector.unregister(key.fileobj)
-                key.fileobj.close()
-
-
-def _memory_mb(pid: int) -> float:
-    """Return the private memory of a process, without files that it shares, in MiB."""
-    try:
-        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    except OSError:
-        return 0.0
-    return sum(int(line.split()[1]) for line in lines if line.startswith("RssAnon")) / 1024
-
-
-class _Platform:
-    """Kills a daemon that needs more than the memory of its machine, and starts it again."""
-
-    def __init__(self, fleet: DeployedFleet, record: Record):
-        self.ends: Counter[str] = Counter()
-        self.most_mb: Counter[str] = Counter()
-        self._fleet, self._record = fleet, record
-
-    def watch(self, host: str, is_over) -> None:
-        """Watch one machine until `is_over`."""
-        fleet, clients = self._fleet, []
-        while not is_over():
-            while not fleet.is_ready(host) and not is_over():
-                time.sleep(POLL_S)
-            clients = [self._start_client(host) for _ in range(CLIENT_PROCESSES)]
-            while fleet.is_running(host) and not is_over():
-                memory_mb = _memory_mb(fleet.process_by_host[host].pid)
-                self.most_mb[host] = max(self.most_mb[host], round(memory_mb))
-                if memory_mb > MEMORY_MB:
-                    fleet.process_by_host[host].kill()
-                    fleet.process_by_host[host].wait()
-                    self._record.add(f"daemon of {host} killed at {memory_mb:.0f} MiB")
-                time.sleep(POLL_S)
-            for client in clients:
-                client.kill()
-                client.wait()
-            if not fleet.is_running(host):
-                self.ends[host] += 1
-                time.sleep(RESTART_DELAY_S)
-                fleet.start(host)
-
-    def _start_client(self, host: str) -> subprocess.Popen:
-        name, port = self._fleet.call_target(host)
-        return subprocess.Popen([sys.executable, __file__, "flood", name, str(port)])
-
-
-def _ordinary(fleet: DeployedFleet, host: str, record: Record, is_over) -> None:
-    """Send a request a second through one daemon, as an ordinary client, and record the answer."""
-    number = 0
+from tests.users.faulty_link import FaultyLink  # noqa: E402
+from tests.users.fleet import PEER  # noqa: E402
+
+SUBNET = 215
+VMS = 5
+CLIENTS = 30
+"""Clients of one machine; each sends its next request when the last one is answered."""
+SERVICE_S = 0.3
+DRAIN_S = 2.0
+"""Bound of the rule, from the store's acknowledgement."""
+CALM_S = 6.0
+"""Time of traffic before the endpoint leaves, in which all machines are in touch."""
+AFTER_RESET_S = 0.05
+"""Time from the reset to the removal of the entry."""
+WATCHED_S = 4.0
+"""Time after the removal in which arrivals are counted."""
+
+
+class _Fleet(DeployedFleet):
+    """Zone a with three machines, zones b and c with one each; a link from each to the store."""
+
+    def failure_domain(self, host: str) -> str:
+        """Return the zone of a VM."""
+        return "aaabc"[self._number(host)]
+
+    def _number(self, host: str) -> int:
+        return int(host.rpartition(".")[2]) - 2
+
+    def roles(self) -> tuple[str, str, str]:
+        """Return the hosts of zone a: who watches, that of the clients, of the endpoint."""
+        hosts = [self._host(number) for number in range(1, 4)]
+        watcher, first, second = sorted(
+            hosts, key=lambda host: zlib.crc32(self.address(host, PEER).encode())
+        )
+        return watcher, first, second
+
+    def service(self, host: str) -> str:
+        """Return `beta` for the leaving endpoint and one in zone b, else `alpha`."""
+        return "beta" if host == self.roles()[2] or self._number(host) == 3 else "alpha"
+
+    def settings(self, host: str) -> dict:
+        """Return the settings of a daemon, which reaches the store over its link."""
+        return super().settings(host) | {"directory": f"{host}:{self.link_port(host)}"}
+
+    def link_port(self, host: str) -> int:
+        """Return the port of a daemon's link to the store, which is opened at the first call."""
+        if not hasattr(self, "store_link_by_host"):
+            self.store_link_by_host: dict[str, FaultyLink] = {}
+        if host not in self.store_link_by_host:
+            name, _, port = self.store.address.rpartition(":")
+            self.store_link_by_host[host] = FaultyLink((host, 0), (name, int(port)))
+        return self.store_link_by_host[host]._listener.getsockname()[1]
+
+    def watches(self, host: str) -> bool:
+        """Return whether a daemon said last that it watches the store."""
+        lines = self.log_by_host[host].read_text().splitlines()
+        events = [json.loads(line) for line in lines if '"watcher_changed"' in line]
+        return bool(events) and events[-1]["watching"]
+
+
+def _client(fleet, host: str, number: int, is_over, answers: list) -> None:
+    sock, count = None, 0
     while not is_over():
-        number += 1
-        started = time.monotonic()
+        count += 1
+        sent_at = time.monotonic()
         try:
-            sock = connect(fleet.call_target(host))
-            sock.settimeout(3.0)
-            request_id = f"ordinary-{host}-{number}"
-            sock.sendall(head_of_request("GET", "/alpha/read/y", request_id, 2500))
-            outcome = read_head(sock.makefile("rb"))[0]
-            sock.close()
+            sock = sock or connect(fleet.call_target(host))
+            stream = sock.makefile("rb")
+            sock.sendall(head_of_request("GET", "/beta/read/x", f"c{number}-{count}", 2500))
+            status, fields = read_head(stream)
+            stream.read(int(fields["content-length"]))
+            answers.append((sent_at, status.split()[1]))
+            if not status.split()[1].startswith("2"):
+                time.sleep(0.3)
         except OSError as error:
-            outcome = f"{type(error).__name__}: {error}"
-        record.add(f"ordinary request {number} at {host}: {outcome}")
-        time.sleep(max(0.0, started + 1.0 - time.monotonic()))
+            sock = None
+            answers.append((sent_at, type(error).__name__))
 
 
 def _play(record: Record) -> bool:
-    fleet = DeployedFleet(VMS, SUBNET)
-    started = time.monotonic()
-    platform = _Platform(fleet, record)
-    attacked = fleet.hosts[:ATTACKED]
-    longest_s = LONGEST_S if HAS_TROUBLE else CALM_S
-
-    def is_over() -> bool:
-        enough = all(platform.ends[host] >= ENDS for host in attacked)
-        return enough or time.monotonic() > started + longest_s
-
+    fleet = _Fleet(VMS, SUBNET, services=("alpha", "beta"))
     try:
+        watcher, entry, leaving = fleet.roles()
         for server in fleet.server_by_host.values():
             server.service_s = SERVICE_S
         fleet.start_all()
-        tasks = [threading.Thread(target=platform.watch, args=(h, is_over)) for h in attacked]
-        tasks += [
-            threading.Thread(target=_ordinary, args=(fleet, h, record, is_over)) for h in attacked
-        ]
-        for task in tasks:
-            task.start()
-        for task in tasks:
-            task.join()
-        runs = sum(sum(server.runs.values()) for server in fleet.server_by_host.values())
-        record.add(f"runs at the servers: {runs}")
-        for host in attacked:
-            record.add(
-                f"{host}: most memory {platform.most_mb[host]} MiB of {MEMORY_MB}, "
-                f"ends by itself {platform.ends[host]}"
+        over_at = [float("inf")]
+        answers: list[tuple[float, str]] = []
+        clients = [
+            threading.Thread(
+                target=_client,
+                args=(fleet, entry, n, lambda: time.monotonic() > over_at[0], answers),
             )
-        return sum(platform.ends[host] >= ENDS for host in attacked) >= 2
+            for n in range(CLIENTS)
+        ]
+        for client in clients:
+            client.start()
+        time.sleep(CALM_S)
+        watching = [host for host in fleet.hosts if fleet.watches(host)]
+        record.add(f"daemons that watch the store: {watching}; of zone a: {watcher}")
+        if watcher not in watching:
+            over_at[0] = 0.0
+            raise RuntimeError("another daemon watches the store for zone a")
+        if HAS_TROUBLE:
+            fleet.store_link_by_host[watcher].reset()
+            record.add(f"connections of {watcher} to the store are reset")
+            time.sleep(AFTER_RESET_S)
+        server = fleet.server_by_host[leaving]
+        server.deregister()
+        removed_at = time.monotonic()
+        record.add(f"the store has acknowledged that the endpoint of {leaving} is gone")
+        over_at[0] = removed_at + WATCHED_S
+        for client in clients:
+            client.join()
+        arrivals = [at - removed_at for at in server.arrived_at if at > removed_at]
+        late = [at for at in arrivals if at > DRAIN_S]
+        statuses = [status for sent_at, status in answers if sent_at > removed_at]
+        record.add(
+            f"answers after that: { {s: statuses.count(s) for s in sorted(set(statuses))} }; "
+            f"sent through {entry}, which was not disturbed"
+        )
+        last_s = max(arrivals, default=0.0)
+        record.add(
+            f"requests that reached the endpoint after its removal: {len(arrivals)}, "
+            f"later than {DRAIN_S} s: {len(late)}, the last after {last_s:.3f} s"
+        )
+        return bool(late)
     finally:
         fleet.close()
+        for link in getattr(fleet, "store_link_by_host", {}).values():
+            link.close()
 
 
-if len(sys.argv) > 1:
-    flood(sys.argv[2], int(sys.argv[3]))
-else:
-    run_case(__file__, _play)
+run_case(__file__, _play)
